--- a/src/main/java/pumiceknot/Brain.java
+++ b/src/main/java/wallmoor/Brain.java
@@ -1,10 +1,10 @@
-package pumiceknot;
+package wallmoor;
 
 import java.util.*;
-import pumiceknot.PeerMessage.Ban;
-import pumiceknot.PeerMessage.Entry;
-import pumiceknot.RouterApi.*;
-import pumiceknot.State.*;
+import wallmoor.PeerMessage.Ban;
+import wallmoor.PeerMessage.Entry;
+import wallmoor.RouterApi.*;
+import wallmoor.State.*;
 
 /**
  * All decisions of one root. What it takes in and gives out is in {@link RouterApi}. Single-threaded, no
--- a/src/main/java/pumiceknot/Fading.java
+++ b/src/main/java/wallmoor/Fading.java
@@ -1,4 +1,4 @@
-package pumiceknot;
+package wallmoor;
 
 /** A smoothed share that halves in a fixed time while nothing is added. */
 final class Fading {
--- a/src/main/java/pumiceknot/Open.java
+++ b/src/main/java/wallmoor/Open.java
@@ -1,10 +1,10 @@
-package pumiceknot;
+package wallmoor;
 
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import pumiceknot.State.Part;
-import pumiceknot.State.Query;
+import wallmoor.State.Part;
+import wallmoor.State.Query;
 
 /** The queries that a root still owes an answer, and the parts of which it may still hear. */
 final class Open {
--- a/src/main/java/pumiceknot/PeerMessage.java
+++ b/src/main/java/wallmoor/PeerMessage.java
@@ -1,4 +1,4 @@
-package pumiceknot;
+package wallmoor;
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
--- a/src/main/java/pumiceknot/SettingsCheck.java
+++ b/src/main/java/wallmoor/SettingsCheck.java
@@ -1,10 +1,10 @@
-package pumiceknot;
+package wallmoor;
 
 import java.util.Objects;
-import pumiceknot.RouterApi.Effect;
-import pumiceknot.RouterApi.QueryClass;
-import pumiceknot.RouterApi.Rules;
-import pumiceknot.RouterApi.Settings;
+import wallmoor.RouterApi.Effect;
+import wallmoor.RouterApi.QueryClass;
+import wallmoor.RouterApi.Rules;
+import wallmoor.RouterApi.Settings;
 
 /** Refuses settings that are absent or contradict themselves, with a message that names them. */
 final class SettingsCheck {
--- a/src/main/java/pumiceknot/Smoothed.java
+++ b/src/main/java/wallmoor/Smoothed.java
@@ -1,4 +1,4 @@
-package pumiceknot;
+package wallmoor;
 
 /** An exponentially smoothed mean. It has no value until the first sample. */
 final class Smoothed {
--- a/src/main/java/pumiceknot/State.java
+++ b/src/main/java/wallmoor/State.java
@@ -1,4 +1,4 @@
-package pumiceknot;
+package wallmoor;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -7,9 +7,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import pumiceknot.RouterApi.LeafState;
-import pumiceknot.RouterApi.QueryArrived;
-import pumiceknot.RouterApi.QueryClass;
+import wallmoor.RouterApi.LeafState;
+import wallmoor.RouterApi.QueryArrived;
+import wallmoor.RouterApi.QueryClass;
 
 /** What a root remembers of leaves, queries, parts and attempts. {@link Brain} alone reads and changes it. */
 final class State {
--- a/src/main/java/pumiceknot/WindowCounter.java
+++ b/src/main/java/wallmoor/WindowCounter.java
@@ -1,4 +1,4 @@
-package pumiceknot;
+package wallmoor;
 
 import java.util.ArrayDeque;
 
--- a/src/main/java/pumiceknot/adapter/Adapter.java
+++ b/src/main/java/wallmoor/adapter/Adapter.java
@@ -1,4 +1,4 @@
-package pumiceknot.adapter;
+package wallmoor.adapter;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -11,16 +11,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import pumiceknot.Brain;
-import pumiceknot.RouterApi;
-import pumiceknot.RouterApi.AttemptEnded;
-import pumiceknot.RouterApi.LeafEntry;
-import pumiceknot.RouterApi.LeafState;
-import pumiceknot.RouterApi.ListKind;
-import pumiceknot.RouterApi.LoadFigure;
-import pumiceknot.RouterApi.Outcome;
-import pumiceknot.RouterApi.PartArrived;
-import pumiceknot.RouterApi.QueryArrived;
+import wallmoor.Brain;
+import wallmoor.RouterApi;
+import wallmoor.RouterApi.AttemptEnded;
+import wallmoor.RouterApi.LeafEntry;
+import wallmoor.RouterApi.LeafState;
+import wallmoor.RouterApi.ListKind;
+import wallmoor.RouterApi.LoadFigure;
+import wallmoor.RouterApi.Outcome;
+import wallmoor.RouterApi.PartArrived;
+import wallmoor.RouterApi.QueryArrived;
 
 /** Hosts many roots in one process and speaks the simulator's wire for them. It decides nothing. */
 public final class Adapter {
--- a/src/main/java/pumiceknot/adapter/Line.java
+++ b/src/main/java/wallmoor/adapter/Line.java
@@ -1,10 +1,10 @@
-package pumiceknot.adapter;
+package wallmoor.adapter;
 
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import pumiceknot.RouterApi;
-import pumiceknot.RouterApi.LoadFigure;
+import wallmoor.RouterApi;
+import wallmoor.RouterApi.LoadFigure;
 
 /** One line of the wire: a message's name and its values, taken in order. */
 final class Line {
--- a/src/main/java/pumiceknot/adapter/SettingsReader.java
+++ b/src/main/java/wallmoor/adapter/SettingsReader.java
@@ -1,18 +1,18 @@
-package pumiceknot.adapter;
+package wallmoor.adapter;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import pumiceknot.RouterApi.Costs;
-import pumiceknot.RouterApi.Effect;
-import pumiceknot.RouterApi.Layout;
-import pumiceknot.RouterApi.Limits;
-import pumiceknot.RouterApi.LoadFigure;
-import pumiceknot.RouterApi.QueryClass;
-import pumiceknot.RouterApi.Rules;
-import pumiceknot.RouterApi.Settings;
-import pumiceknot.RouterApi.Tenant;
+import wallmoor.RouterApi.Costs;
+import wallmoor.RouterApi.Effect;
+import wallmoor.RouterApi.Layout;
+import wallmoor.RouterApi.Limits;
+import wallmoor.RouterApi.LoadFigure;
+import wallmoor.RouterApi.QueryClass;
+import wallmoor.RouterApi.Rules;
+import wallmoor.RouterApi.Settings;
+import wallmoor.RouterApi.Tenant;
 
 /** Turns the path=value pairs of a START line into settings; unknown keys are passed over. */
 final class SettingsReader {
--- a/src/main/java/pumiceknot/adapter/WireException.java
+++ b/src/main/java/wallmoor/adapter/WireException.java
@@ -1,4 +1,4 @@
-package pumiceknot.adapter;
+package wallmoor.adapter;
 
 /** A line that can't be read. Its message names the line and the field. */
 public final class WireException extends RuntimeException {
--- a/src/test/java/pumiceknot/BrainTest.java
+++ b/src/test/java/wallmoor/BrainTest.java
@@ -1,4 +1,4 @@
-package pumiceknot;
+package wallmoor;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -13,15 +13,15 @@
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import pumiceknot.PeerMessage.Entry;
-import pumiceknot.RouterApi.Effect;
-import pumiceknot.RouterApi.LeafEntry;
-import pumiceknot.RouterApi.LeafState;
-import pumiceknot.RouterApi.ListKind;
-import pumiceknot.RouterApi.Outcome;
-import pumiceknot.RouterApi.PartArrived;
-import pumiceknot.RouterApi.QueryArrived;
-import pumiceknot.RouterApi.QueryClass;
+import wallmoor.PeerMessage.Entry;
+import wallmoor.RouterApi.Effect;
+import wallmoor.RouterApi.LeafEntry;
+import wallmoor.RouterApi.LeafState;
+import wallmoor.RouterApi.ListKind;
+import wallmoor.RouterApi.Outcome;
+import wallmoor.RouterApi.PartArrived;
+import wallmoor.RouterApi.QueryArrived;
+import wallmoor.RouterApi.QueryClass;
 
 class BrainTest {
     private static final long MS = Rig.MS;
@@ -810,7 +810,7 @@
 
     @Test
     void theModuleKeepsToItsSize() throws Exception {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/pumiceknot/Brain.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/wallmoor/Brain.java"));
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 910);
         assertTrue(lines.stream().allMatch(l -> l.length() <= 110), "lines of at most 110 characters");
     }
--- a/src/test/java/pumiceknot/Rig.java
+++ b/src/test/java/wallmoor/Rig.java
@@ -1,23 +1,23 @@
-package pumiceknot;
+package wallmoor;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import pumiceknot.RouterApi.AttemptEnded;
-import pumiceknot.RouterApi.Costs;
-import pumiceknot.RouterApi.Effect;
-import pumiceknot.RouterApi.Layout;
-import pumiceknot.RouterApi.LeafEntry;
-import pumiceknot.RouterApi.LeafState;
-import pumiceknot.RouterApi.Limits;
-import pumiceknot.RouterApi.ListKind;
-import pumiceknot.RouterApi.Outcome;
-import pumiceknot.RouterApi.PartArrived;
-import pumiceknot.RouterApi.QueryArrived;
-import pumiceknot.RouterApi.QueryClass;
-import pumiceknot.RouterApi.Rules;
-import pumiceknot.RouterApi.Settings;
-import pumiceknot.RouterApi.Tenant;
+import wallmoor.RouterApi.AttemptEnded;
+import wallmoor.RouterApi.Costs;
+import wallmoor.RouterApi.Effect;
+import wallmoor.RouterApi.Layout;
+import wallmoor.RouterApi.LeafEntry;
+import wallmoor.RouterApi.LeafState;
+import wallmoor.RouterApi.Limits;
+import wallmoor.RouterApi.ListKind;
+import wallmoor.RouterApi.Outcome;
+import wallmoor.RouterApi.PartArrived;
+import wallmoor.RouterApi.QueryArrived;
+import wallmoor.RouterApi.QueryClass;
+import wallmoor.RouterApi.Rules;
+import wallmoor.RouterApi.Settings;
+import wallmoor.RouterApi.Tenant;
 
 /** One Brain with a hand-turned clock; every action is written down as a line of words. */
 final class Rig implements RouterApi.Actions {
--- a/src/test/java/pumiceknot/adapter/AdapterTest.java
+++ b/src/test/java/wallmoor/adapter/AdapterTest.java
@@ -1,4 +1,4 @@
-package pumiceknot.adapter;
+package wallmoor.adapter;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
