--- a/src/main/java/wallmoor/Main.java
+++ b/src/main/java/wallmoor/Main.java
@@ -1,24 +1,42 @@
 package wallmoor;
 
 import java.io.BufferedReader;
+import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStreamWriter;
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
 import wallmoor.adapter.Adapter;
 import wallmoor.adapter.WireException;
+import wallmoor.config.ConfigException;
+import wallmoor.config.Launch;
+import wallmoor.core.Clock;
+import wallmoor.json.Json;
+import wallmoor.platform.Platform;
 
-/** The command line: {@code adapter} speaks the simulator's wire on standard input and output. */
+/** The command line: {@code serve} is a real gatherer, {@code drill} speaks the simulator's wire on standard streams. */
 public final class Main {
+    /** After SIGTERM new connections keep coming for up to 0.4 s; longer on a busy machine. */
+    private static final long HAND_OVER_MILLIS = 700;
+    /** SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM. */
+    private static final long FINISH_MILLIS = 4_500;
+
     private Main() {
     }
 
-    /** Runs a subcommand. Exits 0 at end of input, 1 on a malformed line, 2 on wrong usage. */
-    public static void main(String[] args) throws java.io.IOException {
-        if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar wallmoor.jar adapter");
+    /** Runs a subcommand. Exits 0 at end of input, 1 on a malformed line, 2 on wrong usage or configuration. */
+    public static void main(String[] args) throws IOException {
+        if (args.length == 1 && args[0].equals("serve")) {
+            serve();
+        } else if (args.length == 1 && args[0].equals("drill")) {
+            drill();
+        } else {
+            System.err.println("usage: java -jar wallmoor.jar serve|drill");
             System.exit(2);
         }
+    }
+
+    private static void drill() throws IOException {
         var in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8), 1 << 16);
         var out = new PrintWriter(new OutputStreamWriter(System.out, StandardCharsets.UTF_8));
         try {
@@ -28,4 +46,38 @@
             System.exit(1);
         }
     }
+
+    private static void serve() {
+        try {
+            Launch launch = Launch.read(System.getenv());
+            var platform = new Platform(launch, new Clock(), Main::log);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(platform), "leave"));
+            platform.start();
+            platform.ready(true);
+            log("serving as " + launch.name() + " on " + launch.listen());
+            Thread.currentThread().join();
+        } catch (ConfigException | Json.Malformed e) {
+            System.err.println("wallmoor: " + e.getMessage());
+            System.exit(2);
+        } catch (IOException e) {
+            System.err.println("wallmoor: cannot listen: " + e.getMessage());
+            System.exit(2);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void leave(Platform platform) {
+        try {
+            log("told to leave");
+            platform.leave(HAND_OVER_MILLIS, FINISH_MILLIS);
+            log("left");
+        } catch (IOException | InterruptedException e) {
+            log("left in haste: " + e);
+        }
+    }
+
+    private static void log(String line) {
+        System.err.println(java.time.Instant.now() + " " + line);
+    }
 }
--- a/src/main/java/wallmoor/adapter/Adapter.java
+++ b/src/main/java/wallmoor/adapter/Adapter.java
@@ -11,16 +11,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import wallmoor.Brain;
-import wallmoor.RouterApi;
-import wallmoor.RouterApi.AttemptEnded;
-import wallmoor.RouterApi.LeafEntry;
-import wallmoor.RouterApi.LeafState;
-import wallmoor.RouterApi.ListKind;
-import wallmoor.RouterApi.LoadFigure;
-import wallmoor.RouterApi.Outcome;
-import wallmoor.RouterApi.PartArrived;
-import wallmoor.RouterApi.QueryArrived;
+import wallmoor.config.ConfigException;
+import wallmoor.config.SettingsReader;
+import wallmoor.decision.Brain;
+import wallmoor.decision.RouterApi;
+import wallmoor.decision.RouterApi.AttemptEnded;
+import wallmoor.decision.RouterApi.LeafEntry;
+import wallmoor.decision.RouterApi.LeafState;
+import wallmoor.decision.RouterApi.ListKind;
+import wallmoor.decision.RouterApi.LoadFigure;
+import wallmoor.decision.RouterApi.Outcome;
+import wallmoor.decision.RouterApi.PartArrived;
+import wallmoor.decision.RouterApi.QueryArrived;
 
 /** Hosts many roots in one process and speaks the simulator's wire for them. It decides nothing. */
 public final class Adapter {
@@ -121,11 +123,13 @@
 
     private void start(Line line) {
         long seed = line.whole("Prng");
-        var reader = new SettingsReader(line);
+        var reader = new SettingsReader(line.pairs("Params"));
         int number = current;
         Root root;
         try {
             root = new Root(number, new Brain(reader.settings(), seed, new Replies(number)), reader.columns());
+        } catch (ConfigException e) {
+            throw line.bad("Params", e.getMessage());
         } catch (IllegalArgumentException | NullPointerException e) {
             throw line.bad("Params", "is refused: " + e.getMessage());
         }
--- a/src/main/java/wallmoor/adapter/Line.java
+++ b/src/main/java/wallmoor/adapter/Line.java
@@ -1,10 +1,11 @@
 package wallmoor.adapter;
 
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import wallmoor.RouterApi;
-import wallmoor.RouterApi.LoadFigure;
+import wallmoor.decision.RouterApi;
+import wallmoor.decision.RouterApi.LoadFigure;
 
 /** One line of the wire: a message's name and its values, taken in order. */
 final class Line {
@@ -107,11 +108,17 @@
         return figures;
     }
 
-    /** The values not yet taken. */
-    List<String> rest() {
-        List<String> rest = List.of(values).subList(Math.min(next, values.length), values.length);
-        next = values.length;
-        return rest;
+    /** The values not yet taken, as path=value pairs. */
+    Map<String, String> pairs(String field) {
+        var pairs = new HashMap<String, String>();
+        for (; next < values.length; next++) {
+            int equals = values[next].indexOf('=');
+            if (equals < 1) {
+                throw bad(field, "has no path=value pair in: " + values[next]);
+            }
+            pairs.put(values[next].substring(0, equals), values[next].substring(equals + 1));
+        }
+        return pairs;
     }
 
     WireException bad(String field, String what) {
--- /dev/null
+++ b/src/main/java/wallmoor/config/Flat.java
@@ -0,0 +1,38 @@
+package wallmoor.config;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import wallmoor.json.Json;
+
+/** Flattens nested JSON to the paths of the simulator's START: plain lists joined by commas, other lists counted. */
+final class Flat {
+    private Flat() {
+    }
+
+    static Map<String, String> of(Json.Obj settings) {
+        var pairs = new HashMap<String, String>();
+        settings.members().forEach((name, value) -> put(pairs, name, value));
+        return pairs;
+    }
+
+    private static void put(Map<String, String> pairs, String path, Object value) {
+        if (value instanceof Json.Obj o) {
+            o.members().forEach((name, inner) -> put(pairs, path + "." + name, inner));
+        } else if (value instanceof List<?> list && list.stream().anyMatch(Json.Obj.class::isInstance)) {
+            pairs.put(path + ".count", "" + list.size());
+            for (int i = 0; i < list.size(); i++) {
+                put(pairs, path + "." + i, list.get(i));
+            }
+        } else if (value instanceof List<?> list) {
+            pairs.put(path, list.stream().map(Flat::plain).collect(Collectors.joining(",")));
+        } else if (value != null) {
+            pairs.put(path, plain(value));
+        }
+    }
+
+    private static String plain(Object value) {
+        return value instanceof String s ? s.replaceAll("[ ,]", "_") : String.valueOf(value);
+    }
+}
--- /dev/null
+++ b/src/main/java/wallmoor/config/Launch.java
@@ -0,0 +1,144 @@
+package wallmoor.config;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import wallmoor.decision.RouterApi.Settings;
+import wallmoor.json.Json;
+
+/**
+ * What a real gatherer is started with: the JSON file that {@code ROUTER_CONFIG} names, with the environment's own
+ * variables where the file lacks something. All of it is read, checked and given defaults here.
+ *
+ * @param known    the list of workers as last held, in discovery's form
+ * @param zones    the zones' names, by index
+ * @param kinds    the machine kinds' names, by index
+ * @param classes  the classes' names, by index
+ */
+public record Launch(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, Settings settings,
+        Json.Obj known, List<String> zones, List<String> kinds, List<String> classes, int sockets, int streams,
+        long connIdleMillis, int connectMillis) {
+    private static final int DEFAULT_SOCKETS = 1024;
+    private static final int FEWEST_SOCKETS = 64;
+
+    /** Reads the configuration that the environment names. */
+    public static Launch read(Map<String, String> env) {
+        String file = env.get("ROUTER_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new ConfigException("ROUTER_CONFIG", "ROUTER_CONFIG is not set");
+        }
+        byte[] text;
+        try {
+            text = Files.readAllBytes(Path.of(file));
+        } catch (IOException | java.nio.file.InvalidPathException e) {
+            throw new ConfigException("ROUTER_CONFIG", "ROUTER_CONFIG can't be read: " + e.getMessage());
+        }
+        try {
+            return of(Json.object(text, 0, text.length), env);
+        } catch (Json.Malformed e) {
+            throw new ConfigException("ROUTER_CONFIG", "ROUTER_CONFIG is malformed: " + e.getMessage());
+        }
+    }
+
+    private static Launch of(Json.Obj json, Map<String, String> env) {
+        Json.Obj nested = object(json, "settings");
+        Map<String, String> flat = Flat.of(nested);
+        Settings settings;
+        try {
+            settings = new SettingsReader(flat).settings();
+            wallmoor.decision.SettingsCheck.check(settings);
+        } catch (ConfigException e) {
+            throw new ConfigException(e.key(), "settings " + e.getMessage());
+        } catch (IllegalArgumentException e) {
+            throw new ConfigException("settings", e.getMessage());
+        }
+        Json.Obj limits = json.get("limits") instanceof Json.Obj o ? o : new Json.Obj();
+        int sockets = (int) bounded("limits.sockets", limits.number("sockets", DEFAULT_SOCKETS), FEWEST_SOCKETS);
+        int streams = (int) bounded("settings.Limits.StreamsPerConn", decimal(flat, "Limits.StreamsPerConn", 100), 1);
+        long idle = (long) bounded("settings.Limits.ConnIdle", decimal(flat, "Limits.ConnIdle", 15e6), 1) / 1000;
+        long connect = settings.limits().connectTimeout() / 1000;
+        return new Launch(textOr(json, "name", env.getOrDefault("ROUTER_NAME", "gatherer")),
+                address("listen", textOr(json, "listen", env.get("ROUTER_LISTEN"))),
+                address("discovery", textOr(json, "discovery", env.get("ROUTER_DISCOVERY"))),
+                seed(json.get("seed")), settings, json.get("known") instanceof Json.Obj o ? o : null,
+                names(nested, "Dcs"), names(nested, "Kinds"), classNames(nested), sockets, streams, idle,
+                connect > 0 ? (int) connect : 1000);
+    }
+
+    /** The address in a text, as HOST:PORT. No name is looked up: there is no DNS. */
+    public static InetSocketAddress address(String key, String text) {
+        if (text == null) {
+            throw new ConfigException(key, key + " is absent");
+        }
+        int colon = text.lastIndexOf(':');
+        if (colon < 1 || !text.substring(colon + 1).matches("[0-9]{1,5}")
+                || !text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:.]+\\]|localhost")) {
+            throw new ConfigException(key, key + " is not ADDRESS:PORT: " + text);
+        }
+        int port = Integer.parseInt(text.substring(colon + 1));
+        if (port > 65535) {
+            throw new ConfigException(key, key + " has no such port: " + text);
+        }
+        return new InetSocketAddress(text.substring(0, colon), port);
+    }
+
+    private static Json.Obj object(Json.Obj in, String key) {
+        if (in.get(key) instanceof Json.Obj o) {
+            return o;
+        }
+        throw new ConfigException(key, key + " is absent or no object");
+    }
+
+    private static String textOr(Json.Obj json, String key, String otherwise) {
+        String text = json.text(key);
+        return text != null ? text : otherwise;
+    }
+
+    private static double bounded(String key, double value, double least) {
+        if (!(value >= least && value <= 1e15)) {
+            throw new ConfigException(key, key + " must be at least " + (long) least + ": " + value);
+        }
+        return value;
+    }
+
+    private static double decimal(Map<String, String> flat, String path, double otherwise) {
+        try {
+            return flat.containsKey(path) ? Double.parseDouble(flat.get(path)) : otherwise;
+        } catch (NumberFormatException e) {
+            throw new ConfigException(path, "settings." + path + " is no number: " + flat.get(path));
+        }
+    }
+
+    private static long seed(Object seed) {
+        try {
+            return seed instanceof Number n ? n.longValue()
+                    : seed instanceof String s ? Long.parseUnsignedLong(s, 16) : System.nanoTime();
+        } catch (NumberFormatException e) {
+            throw new ConfigException("seed", "seed is not hex: " + seed);
+        }
+    }
+
+    private static List<String> names(Json.Obj nested, String key) {
+        var names = new ArrayList<String>();
+        if (nested.list(key) != null) {
+            nested.list(key).forEach(n -> names.add(String.valueOf(n)));
+        }
+        return List.copyOf(names);
+    }
+
+    private static List<String> classNames(Json.Obj nested) {
+        var names = new ArrayList<String>();
+        List<?> classes = nested.list("Classes");
+        for (int i = 0; classes != null && i < classes.size(); i++) {
+            if (!(classes.get(i) instanceof Json.Obj c) || c.text("Name") == null) {
+                throw new ConfigException("Classes." + i + ".Name", "settings.Classes." + i + ".Name is absent");
+            }
+            names.add(c.text("Name"));
+        }
+        return List.copyOf(names);
+    }
+}
--- a/src/main/java/wallmoor/adapter/SettingsReader.java
+++ b/src/main/java/wallmoor/config/SettingsReader.java
@@ -1,21 +1,24 @@
-package wallmoor.adapter;
+package wallmoor.config;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import wallmoor.RouterApi.Costs;
-import wallmoor.RouterApi.Effect;
-import wallmoor.RouterApi.Layout;
-import wallmoor.RouterApi.Limits;
-import wallmoor.RouterApi.LoadFigure;
-import wallmoor.RouterApi.QueryClass;
-import wallmoor.RouterApi.Rules;
-import wallmoor.RouterApi.Settings;
-import wallmoor.RouterApi.Tenant;
-
-/** Turns the path=value pairs of a START line into settings; unknown keys are passed over. */
-final class SettingsReader {
+import wallmoor.decision.RouterApi.Costs;
+import wallmoor.decision.RouterApi.Effect;
+import wallmoor.decision.RouterApi.Layout;
+import wallmoor.decision.RouterApi.Limits;
+import wallmoor.decision.RouterApi.LoadFigure;
+import wallmoor.decision.RouterApi.QueryClass;
+import wallmoor.decision.RouterApi.Rules;
+import wallmoor.decision.RouterApi.Settings;
+import wallmoor.decision.RouterApi.Tenant;
+
+/**
+ * Turns settings, flattened to path=value pairs as in the simulator's START, into what the module takes; unknown keys
+ * are passed over. The nested JSON of a real gatherer is flattened to the same paths, so that both read alike.
+ */
+public final class SettingsReader {
     private static final Map<String, Effect> EFFECTS =
             Map.of("free", Effect.SAFE, "guarded", Effect.KEYED, "single_shot", Effect.UNSAFE);
     private static final Map<String, LoadFigure> FIGURES = Map.of("outstanding", LoadFigure.INFLIGHT,
@@ -25,21 +28,15 @@
     private static final Map<String, Boolean> BOOLEANS =
             Map.of("true", true, "false", false, "1", true, "0", false);
 
-    private final Line line;
-    private final Map<String, String> pairs = new HashMap<>();
-
-    SettingsReader(Line line) {
-        this.line = line;
-        for (String pair : line.rest()) {
-            int equals = pair.indexOf('=');
-            if (equals < 1) {
-                throw line.bad("Params", "has no path=value pair in: " + pair);
-            }
-            pairs.put(pair.substring(0, equals), pair.substring(equals + 1));
-        }
+    private final Map<String, String> pairs;
+
+    /** Reads from these pairs. */
+    public SettingsReader(Map<String, String> pairs) {
+        this.pairs = pairs;
     }
 
-    Settings settings() {
+    /** The settings, checked for presence and form. */
+    public Settings settings() {
         var classes = new ArrayList<QueryClass>();
         for (int i = 0; i < whole("Classes.count"); i++) {
             classes.add(queryClass(i));
@@ -55,7 +52,8 @@
                 flag("Clients.MarksRetry", false), layout(), limits(), rules(), costs());
     }
 
-    List<LoadFigure> columns() {
+    /** The figures in a load report, in order. */
+    public List<LoadFigure> columns() {
         String columns = pairs.getOrDefault("LoadReport.Columns", "");
         if (columns.isEmpty()) {
             return List.of();
@@ -103,7 +101,7 @@
     private String required(String path) {
         String value = pairs.get(path);
         if (value == null) {
-            throw line.bad("Params", "lacks the required setting " + path);
+            throw new ConfigException(path, "lacks the required setting " + path);
         }
         return value;
     }
@@ -111,7 +109,7 @@
     private long whole(String path) {
         double value = decimal(path);
         if (value != Math.rint(value)) {
-            throw line.bad("Params", "has no whole number at " + path + ": " + pairs.get(path));
+            throw new ConfigException(path, "has no whole number at " + path + ": " + pairs.get(path));
         }
         return (long) value;
     }
@@ -137,7 +135,7 @@
         try {
             return Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw line.bad("Params", "has no number at " + path + ": " + value);
+            throw new ConfigException(path, "has no number at " + path + ": " + value);
         }
     }
 
@@ -148,7 +146,7 @@
     private <T> T word(String path, Map<String, T> words) {
         T found = words.get(required(path));
         if (found == null) {
-            throw line.bad("Params", "has an unknown word at " + path + ": " + pairs.get(path));
+            throw new ConfigException(path, "has an unknown word at " + path + ": " + pairs.get(path));
         }
         return found;
     }
--- /dev/null
+++ b/src/main/java/wallmoor/core/Clock.java
@@ -0,0 +1,19 @@
+package wallmoor.core;
+
+import java.util.function.LongSupplier;
+
+/** Microseconds of Unix time that only go forward: set by the system's clock once, then by its steady one. */
+public final class Clock implements LongSupplier {
+    private final long wall = System.currentTimeMillis() * 1000;
+    private final long steady = System.nanoTime();
+
+    @Override
+    public long getAsLong() {
+        return at(System.nanoTime());
+    }
+
+    /** The time of a {@link System#nanoTime} reading. */
+    public long at(long nanos) {
+        return wall + (nanos - steady) / 1000;
+    }
+}
--- /dev/null
+++ b/src/main/java/wallmoor/core/Gatherer.java
@@ -0,0 +1,484 @@
+package wallmoor.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import wallmoor.decision.Brain;
+import wallmoor.decision.RouterApi;
+import wallmoor.decision.RouterApi.AttemptEnded;
+import wallmoor.decision.RouterApi.LeafEntry;
+import wallmoor.decision.RouterApi.LeafState;
+import wallmoor.decision.RouterApi.ListKind;
+import wallmoor.decision.RouterApi.PartArrived;
+import wallmoor.decision.RouterApi.QueryArrived;
+import wallmoor.decision.RouterApi.Settings;
+
+/**
+ * The blocking facade of the decision module: threads take queries in, pick what is next for them, report how attempts
+ * ended and tick the timers. One lock stands round the module; it is held for a decision, never for I/O or while
+ * something is waited for. Each call is a round of its own: what the module decides is there when the call returns.
+ */
+public final class Gatherer {
+    /** How long past its deadline a query is left to the module before it is failed here (microseconds). */
+    private static final long OVERDUE = 5_000;
+
+    private record Timer(long at, String token, Attempt attempt) {
+    }
+
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Condition timers = lock.newCondition();
+    private final Condition watchWanted = lock.newCondition();
+    private final LongSupplier clock;
+    private final Consumer<String> log;
+    private final Brain brain;
+    private final int bundle;
+    private final Map<String, Query> queries = new HashMap<>();
+    private final Map<String, Query> byPart = new HashMap<>();
+    private final Map<String, Worker> workers = new HashMap<>();
+    private final PriorityQueue<Timer> due = new PriorityQueue<>((a, b) -> Long.compare(a.at, b.at));
+    private final Set<String> fresh = new HashSet<>();
+    private final Set<Query> touched = new HashSet<>();
+    private long numbers;
+    private boolean wanted;
+    private long now;
+
+    /**
+     * Makes a gatherer.
+     *
+     * @param clock microseconds of Unix time that only go forward
+     * @throws IllegalArgumentException if the settings contradict themselves
+     */
+    public Gatherer(Settings settings, long seed, LongSupplier clock, Consumer<String> log) {
+        this.clock = clock;
+        this.log = log;
+        bundle = Math.max(1, settings.limits().bundleMax());
+        brain = new Brain(settings, seed, new Decided());
+    }
+
+    /** Microseconds on the clock that deadlines are given on. */
+    public long now() {
+        return clock.getAsLong();
+    }
+
+    // ---- queries ------------------------------------------------------------------------------------------
+
+    /**
+     * Takes a query; its thread then calls {@link #pick} until a final answer comes. Null if its id is already held.
+     *
+     * @param carries what the front's workers need of it
+     */
+    public Query open(String id, int queryClass, long deadline, boolean repeat, List<Query.Ask> asks, Object carries) {
+        lock.lock();
+        try {
+            if (queries.containsKey(id)) {
+                return null;
+            }
+            var query = new Query(id, deadline, carries, lock.newCondition());
+            for (Query.Ask ask : asks) {
+                query.parts.add(new Query.Part(id + "." + ask.shard(), ask.shard()));
+            }
+            queries.put(id, query);
+            query.parts.forEach(p -> byPart.put(p.id, query));
+            long number = ++numbers;
+            round(() -> {
+                brain.onQuery(now, new QueryArrived(id, number, queryClass, 0, null, deadline, RouterApi.ABSENT,
+                        asks.size(), repeat));
+                for (int i = 0; i < asks.size(); i++) {
+                    Query.Ask ask = asks.get(i);
+                    brain.onPart(now, new PartArrived(query.parts.get(i).id, number, ask.shard(), ask.weight(),
+                            ask.hint()));
+                }
+            });
+            return query;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Waits for what is next for this query. After a {@link Step.Final} nothing more comes. */
+    public Step pick(Query query) throws InterruptedException {
+        lock.lock();
+        try {
+            while (true) {
+                Step step = query.steps.poll();
+                if (step instanceof Step.Send send && !send.worker().serving()) {
+                    // told of a drain since the module decided: a part still here must not go out
+                    round(() -> send.attempts().forEach(a -> end(a, Outcome.NEVER_SENT, null)));
+                } else if (step != null) {
+                    return step;
+                } else if (query.end != null) {
+                    callOff(query); // where the module may not cancel, nothing is left out behind a final answer
+                    if (query.steps.isEmpty()) {
+                        return query.end;
+                    }
+                } else {
+                    long left = query.deadline + OVERDUE - now();
+                    if (left <= 0) { // the module has failed it: its client still gets an answer
+                        log.accept("query " + query.id + " is overdue");
+                        round(() -> brain.onHangup(now, query.id));
+                        finish(query, new Step.Fail(true));
+                    } else {
+                        query.ready.await(left, TimeUnit.MICROSECONDS);
+                    }
+                }
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** The client of this query has left. */
+    public void gone(Query query) {
+        lock.lock();
+        try {
+            if (query.end == null) {
+                round(() -> brain.onHangup(now, query.id));
+                finish(query, new Step.Gone());
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Runs a query to its end: hands its steps to the workers and returns the final answer. */
+    public Step.Final run(Query query, Workers through) throws InterruptedException {
+        boolean over = false;
+        try {
+            while (true) {
+                Step step = pick(query);
+                if (step instanceof Step.Final end) {
+                    over = true;
+                    return end;
+                }
+                hand(step, through);
+            }
+        } finally {
+            if (!over) { // an exception ended this thread: what the module decided is still carried out
+                gone(query);
+                for (Step step = rest(query); step != null; step = rest(query)) {
+                    hand(step, through);
+                }
+            }
+        }
+    }
+
+    private static void hand(Step step, Workers through) {
+        if (step instanceof Step.Send send) {
+            through.send(send);
+        } else if (step instanceof Step.Cancel cancel) {
+            through.cancel(cancel);
+        }
+    }
+
+    private Step rest(Query query) {
+        lock.lock();
+        try {
+            return query.steps.poll();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** How many queries have no final answer yet. */
+    public int openQueries() {
+        lock.lock();
+        try {
+            return queries.size();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    // ---- outcomes -----------------------------------------------------------------------------------------
+
+    /** An attempt has ended. Only its first report counts. */
+    public void report(Attempt attempt, Outcome outcome, byte[] value) {
+        lock.lock();
+        try {
+            round(() -> end(attempt, outcome, value));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Several attempts have ended at once, as when their connection broke: one round. */
+    public void report(Map<Attempt, Outcome> ended) {
+        lock.lock();
+        try {
+            round(() -> ended.forEach((attempt, outcome) -> end(attempt, outcome, null)));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void end(Attempt a, Outcome outcome, byte[] value) {
+        if (a.ended) {
+            return;
+        }
+        a.ended = true;
+        a.query.out.remove(a);
+        due.removeIf(t -> t.attempt == a);
+        boolean closed = a.query.end != null;
+        if (outcome == Outcome.SERVED && !closed) {
+            a.part.value = value;
+        }
+        if (closed && a.query.out.isEmpty()) {
+            forget(a.query);
+        }
+        brain.onOutcome(now, new AttemptEnded(a.part.id, a.number, a.worker.id(), outcome.code, now - a.sentAt,
+                closed || outcome == Outcome.SERVED, Map.of()));
+    }
+
+    // ---- time ---------------------------------------------------------------------------------------------
+
+    /** Waits for the next timer, for at most so long, and runs what is due. */
+    public void tick(long atMostMillis) throws InterruptedException {
+        lock.lock();
+        try {
+            long wait = due.isEmpty() ? atMostMillis * 1000 : Math.min(atMostMillis * 1000, due.peek().at - now());
+            if (wait > 0) {
+                timers.await(wait, TimeUnit.MICROSECONDS);
+            }
+            if (!due.isEmpty() && due.peek().at <= now()) {
+                round(() -> {
+                    while (!due.isEmpty() && due.peek().at <= now) {
+                        fire(due.poll());
+                    }
+                });
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void fire(Timer timer) {
+        if (timer.attempt == null) {
+            brain.onTimer(now, timer.token);
+        } else if (!timer.attempt.ended && !timer.attempt.calledOff) {
+            timer.attempt.calledOff = true;
+            step(timer.attempt.query, new Step.Cancel(timer.attempt, Outcome.TIMED_OUT));
+        }
+    }
+
+    private void schedule(Timer timer) {
+        due.add(timer);
+        if (due.peek() == timer) {
+            timers.signal();
+        }
+    }
+
+    // ---- membership ---------------------------------------------------------------------------------------
+
+    /** Starts the module on the list as it was last held. */
+    public void start(List<Member> known) {
+        lock.lock();
+        try {
+            round(() -> {
+                brain.onStart(now);
+                list(ListKind.STALE, known);
+            });
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** News of the list: all of it, or the changes. */
+    public void members(boolean whole, List<Member> members) {
+        lock.lock();
+        try {
+            round(() -> list(whole ? ListKind.WHOLE : ListKind.CHANGES, members));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** The watch on the list has ended or never came up; the module says when to ask again. */
+    public void watchLost() {
+        lock.lock();
+        try {
+            wanted = false;
+            round(() -> brain.onList(now, ListKind.BROKEN, List.of()));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Waits until the module wants the list watched. */
+    public void awaitWatchWanted() throws InterruptedException {
+        lock.lock();
+        try {
+            while (!wanted) {
+                watchWanted.await();
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void list(ListKind kind, List<Member> members) {
+        if (kind != ListKind.CHANGES) {
+            workers.values().forEach(Worker::leave);
+        }
+        var entries = new ArrayList<LeafEntry>();
+        for (Member m : members) {
+            workers.computeIfAbsent(m.id(), Worker::new).become(m);
+            LeafState state = switch (m.state()) {
+                case SERVING -> LeafState.UP;
+                case DRAINING -> LeafState.DRAINING;
+                case GONE -> LeafState.REMOVED;
+            };
+            entries.add(new LeafEntry(m.id(), m.zone(), m.kind(), m.cell(), state, m.size(),
+                    m.upSince() <= 0 ? RouterApi.ABSENT : m.upSince()));
+        }
+        brain.onList(now, kind, entries);
+    }
+
+    // ---- rounds -------------------------------------------------------------------------------------------
+
+    /** Runs events of one moment, then lets the module decide. What it throws is logged in full and ends no thread. */
+    private void round(Runnable events) {
+        now = Math.max(now, now());
+        try {
+            events.run();
+            brain.onEndOfRound(now);
+        } catch (RuntimeException e) {
+            var trace = new java.io.StringWriter();
+            e.printStackTrace(new java.io.PrintWriter(trace));
+            log.accept("the module failed: " + trace);
+        }
+        for (Query q : touched) {
+            q.ready.signalAll();
+        }
+        touched.clear();
+        fresh.clear();
+    }
+
+    private void step(Query query, Step step) {
+        query.steps.add(step);
+        touched.add(query);
+    }
+
+    /** Sets the final answer; the steps before it, calls to cancel among them, are still handed out first. */
+    private void finish(Query query, Step.Final end) {
+        if (query.end == null) {
+            query.end = end;
+            queries.remove(query.id);
+            if (query.out.isEmpty()) {
+                forget(query);
+            }
+            query.ready.signalAll();
+        }
+    }
+
+    private void forget(Query query) {
+        query.parts.forEach(p -> byPart.remove(p.id));
+    }
+
+    /** Calls off all that a query has out. */
+    private void callOff(Query query) {
+        for (Attempt a : query.out) {
+            if (!a.calledOff) {
+                a.calledOff = true;
+                step(query, new Step.Cancel(a, Outcome.CANCELLED));
+            }
+        }
+        touched.clear();
+    }
+
+    /** Turns the module's actions into steps. Runs inside a round. */
+    private final class Decided implements RouterApi.Actions {
+
+        @Override
+        public void assign(String part, String leaf, long giveUpAfter) {
+            Query q = byPart.get(part);
+            Query.Part p = q.part(part);
+            Worker worker = workers.get(leaf);
+            long until = Math.min(q.deadline, now + giveUpAfter);
+            var attempt = new Attempt(q, p, p.attempts++, worker, now, until);
+            q.out.add(attempt);
+            schedule(new Timer(until, null, attempt));
+            for (Iterator<Step> i = q.steps.descendingIterator(); i.hasNext();) {
+                if (i.next() instanceof Step.Send s && s.worker() == worker && s.attempts().size() < bundle
+                        && s.attempts().get(0).sentAt == now) {
+                    s.attempts().add(attempt);
+                    return;
+                }
+            }
+            step(q, new Step.Send(worker, new ArrayList<>(List.of(attempt)), fresh.remove(leaf)));
+        }
+
+        @Override
+        public void cancel(String part, int number) {
+            Query q = byPart.get(part);
+            if (q == null) {
+                return;
+            }
+            for (Attempt a : q.out) {
+                if (a.part.id.equals(part) && a.number == number && !a.calledOff) {
+                    a.calledOff = true;
+                    step(q, new Step.Cancel(a, Outcome.CANCELLED));
+                }
+            }
+        }
+
+        @Override
+        public void answer(String query, boolean whole) {
+            Query q = queries.get(query);
+            if (q != null) {
+                finish(q, new Step.Answer(whole, q.values()));
+            }
+        }
+
+        @Override
+        public void refuse(String query, long comeBackAfter) {
+            Query q = queries.get(query);
+            if (q != null) {
+                finish(q, new Step.Refuse(comeBackAfter));
+            }
+        }
+
+        @Override
+        public void fail(String query) {
+            Query q = queries.get(query);
+            if (q != null) {
+                finish(q, new Step.Fail(now >= q.deadline - 100_000));
+            }
+        }
+
+        @Override
+        public void timer(long in, String token) {
+            schedule(new Timer(now + in, token, null));
+        }
+
+        @Override
+        public void closeIdle(String leaf) {
+            fresh.add(leaf);
+        }
+
+        @Override
+        public void tellPeers(byte[] contents) {
+            // gatherers have no way to talk to each other here
+        }
+
+        @Override
+        public void subscribe() {
+            wanted = true;
+            watchWanted.signalAll();
+        }
+
+        @Override
+        public void log(String line) {
+            log.accept(line);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wallmoor/core/Query.java
@@ -0,0 +1,77 @@
+package wallmoor.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.locks.Condition;
+
+/** A query that the gatherer has taken, and the steps that wait for its thread. Guarded by the gatherer's lock. */
+public final class Query {
+    /** A part as it was asked for. */
+    public record Ask(int shard, double weight, long hint) {
+    }
+
+    static final class Part {
+        final String id;
+        final int shard;
+        byte[] value;
+        int attempts;
+
+        Part(String id, int shard) {
+            this.id = id;
+            this.shard = shard;
+        }
+    }
+
+    final String id;
+    final long deadline;
+    final Object carries;
+    final List<Part> parts = new ArrayList<>();
+    final List<Attempt> out = new ArrayList<>();
+    /** Bounded by the parts and the most attempts of each. */
+    final Deque<Step> steps = new ArrayDeque<>();
+    final Condition ready;
+    Step.Final end;
+
+    Query(String id, long deadline, Object carries, Condition ready) {
+        this.id = id;
+        this.deadline = deadline;
+        this.carries = carries;
+        this.ready = ready;
+    }
+
+    /** Its id. */
+    public String id() {
+        return id;
+    }
+
+    /** When its client gives up, on the gatherer's clock. */
+    public long deadline() {
+        return deadline;
+    }
+
+    /** What the front gave along for its workers. */
+    public Object carries() {
+        return carries;
+    }
+
+    Part part(String partId) {
+        for (Part p : parts) {
+            if (p.id.equals(partId)) {
+                return p;
+            }
+        }
+        return null;
+    }
+
+    List<Step.Value> values() {
+        var in = new ArrayList<Step.Value>();
+        for (Part p : parts) {
+            if (p.value != null) {
+                in.add(new Step.Value(p.shard, p.value));
+            }
+        }
+        return in;
+    }
+}
--- a/src/main/java/wallmoor/Brain.java
+++ b/src/main/java/wallmoor/decision/Brain.java
@@ -1,10 +1,10 @@
-package wallmoor;
+package wallmoor.decision;
 
 import java.util.*;
-import wallmoor.PeerMessage.Ban;
-import wallmoor.PeerMessage.Entry;
-import wallmoor.RouterApi.*;
-import wallmoor.State.*;
+import wallmoor.decision.PeerMessage.Ban;
+import wallmoor.decision.PeerMessage.Entry;
+import wallmoor.decision.RouterApi.*;
+import wallmoor.decision.State.*;
 
 /**
  * All decisions of one root. What it takes in and gives out is in {@link RouterApi}. Single-threaded, no
--- a/src/main/java/wallmoor/Fading.java
+++ b/src/main/java/wallmoor/decision/Fading.java
@@ -1,4 +1,4 @@
-package wallmoor;
+package wallmoor.decision;
 
 /** A smoothed share that halves in a fixed time while nothing is added. */
 final class Fading {
--- a/src/main/java/wallmoor/Fleet.java
+++ b/src/main/java/wallmoor/decision/Fleet.java
@@ -1,4 +1,4 @@
-package wallmoor;
+package wallmoor.decision;
 
 import java.util.Collection;
 import java.util.HashSet;
@@ -8,10 +8,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
-import wallmoor.RouterApi.Layout;
-import wallmoor.RouterApi.LeafEntry;
-import wallmoor.RouterApi.LeafState;
-import wallmoor.State.Leaf;
+import wallmoor.decision.RouterApi.Layout;
+import wallmoor.decision.RouterApi.LeafEntry;
+import wallmoor.decision.RouterApi.LeafState;
+import wallmoor.decision.State.Leaf;
 
 /** The leaves that lists have named, found by id, by the tag of peer messages, and by the shards they hold. */
 final class Fleet {
--- a/src/main/java/wallmoor/Open.java
+++ b/src/main/java/wallmoor/decision/Open.java
@@ -1,10 +1,10 @@
-package wallmoor;
+package wallmoor.decision;
 
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import wallmoor.State.Part;
-import wallmoor.State.Query;
+import wallmoor.decision.State.Part;
+import wallmoor.decision.State.Query;
 
 /** The queries that a root still owes an answer, and the parts of which it may still hear. */
 final class Open {
--- a/src/main/java/wallmoor/PeerMessage.java
+++ b/src/main/java/wallmoor/decision/PeerMessage.java
@@ -1,4 +1,4 @@
-package wallmoor;
+package wallmoor.decision;
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
--- a/src/main/java/wallmoor/RouterApi.java
+++ b/src/main/java/wallmoor/decision/RouterApi.java
@@ -1,4 +1,4 @@
-package wallmoor;
+package wallmoor.decision;
 
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/wallmoor/SettingsCheck.java
+++ b/src/main/java/wallmoor/decision/SettingsCheck.java
@@ -1,17 +1,18 @@
-package wallmoor;
+package wallmoor.decision;
 
 import java.util.Objects;
-import wallmoor.RouterApi.Effect;
-import wallmoor.RouterApi.QueryClass;
-import wallmoor.RouterApi.Rules;
-import wallmoor.RouterApi.Settings;
+import wallmoor.decision.RouterApi.Effect;
+import wallmoor.decision.RouterApi.QueryClass;
+import wallmoor.decision.RouterApi.Rules;
+import wallmoor.decision.RouterApi.Settings;
 
 /** Refuses settings that are absent or contradict themselves, with a message that names them. */
-final class SettingsCheck {
+public final class SettingsCheck {
     private SettingsCheck() {
     }
 
-    static void check(Settings s) {
+    /** Throws unless these settings are present and agree. */
+    public static void check(Settings s) {
         Objects.requireNonNull(s, "settings are null");
         Objects.requireNonNull(s.classes(), "settings.classes is null");
         Objects.requireNonNull(s.tenants(), "settings.tenants is null");
--- a/src/main/java/wallmoor/Smoothed.java
+++ b/src/main/java/wallmoor/decision/Smoothed.java
@@ -1,4 +1,4 @@
-package wallmoor;
+package wallmoor.decision;
 
 /** An exponentially smoothed mean. It has no value until the first sample. */
 final class Smoothed {
--- a/src/main/java/wallmoor/State.java
+++ b/src/main/java/wallmoor/decision/State.java
@@ -1,4 +1,4 @@
-package wallmoor;
+package wallmoor.decision;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -7,9 +7,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import wallmoor.RouterApi.LeafState;
-import wallmoor.RouterApi.QueryArrived;
-import wallmoor.RouterApi.QueryClass;
+import wallmoor.decision.RouterApi.LeafState;
+import wallmoor.decision.RouterApi.QueryArrived;
+import wallmoor.decision.RouterApi.QueryClass;
 
 /** What a root remembers of leaves, queries, parts and attempts. {@link Brain} alone reads and changes it. */
 final class State {
--- /dev/null
+++ b/src/main/java/wallmoor/http/HttpIn.java
@@ -0,0 +1,330 @@
+package wallmoor.http;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Reads HTTP/1.1 messages from a connection into one buffer. Heads and bodies are bounded, and so is the time that a
+ * message may take once its first byte is in: on poor links half a message is ordinary, and none may hold a thread
+ * for ever. One thread reads; a body is good until the next message is begun.
+ */
+public final class HttpIn {
+    /** The longest body that is taken. */
+    public static final int MOST_BODY = 64 * 1024;
+    private static final int MOST_HEAD = 16 * 1024;
+    private static final int MOST_HEADERS = 64;
+    private static final int FIRST_SIZE = 2048;
+    private static final int MOST_LINE = 1024;
+
+    private final Socket socket;
+    private final InputStream in;
+    private final int mostBody;
+    private byte[] buffer = new byte[FIRST_SIZE];
+    private int at;
+    private int end;
+    private long begunAt;
+    private long giveUpAt;
+    private boolean chunked;
+    private int chunkLeft;
+
+    /** Reads from this connection, bodies up to {@code mostBody}. */
+    public HttpIn(Socket socket, int mostBody) throws IOException {
+        this.socket = socket;
+        this.in = socket.getInputStream();
+        this.mostBody = mostBody;
+    }
+
+    /** Waits for the first byte of the next message, for ever if 0; false if the peer closes instead. */
+    public boolean await(int millis) throws IOException {
+        if (at == end) {
+            at = 0;
+            end = 0;
+            if (buffer.length > 8 * FIRST_SIZE) {
+                buffer = new byte[FIRST_SIZE];
+            }
+            socket.setSoTimeout(millis);
+            if (!more()) {
+                return false;
+            }
+        }
+        begunAt = System.nanoTime();
+        return true;
+    }
+
+    /** Waits until the peer sends more or closes, without touching the message read last. False if it closes. */
+    public boolean awaitBehind() throws IOException {
+        if (at < end) {
+            return true;
+        }
+        if (end == buffer.length) { // slices of the message in hand stay where they are
+            buffer = new byte[FIRST_SIZE];
+            at = 0;
+            end = 0;
+        }
+        socket.setSoTimeout(0);
+        return more();
+    }
+
+    /** Reads a request whose first byte is in. */
+    public Message request(int millis) throws IOException, HttpProblem {
+        giveUpAt = begunAt + TimeUnit.MILLISECONDS.toNanos(millis);
+        String[] first = line(0, 414).split(" ", -1);
+        if (first.length != 3 || first[0].isEmpty() || !first[1].startsWith("/") || !first[2].startsWith("HTTP/")) {
+            throw new HttpProblem(400, "malformed request line");
+        }
+        if (!first[2].equals("HTTP/1.1") && !first[2].equals("HTTP/1.0")) {
+            throw new HttpProblem(505, "HTTP/1.1 only");
+        }
+        List<String> headers = headers();
+        return new Message(first[0], first[1], 0, headers, body(headers, false),
+                keeps(headers, first[2]), begunAt);
+    }
+
+    /** Reads an answer: all of it, or only its head where the body is to be read line by line. */
+    public Message answer(int millis, boolean withBody) throws IOException, HttpProblem {
+        giveUpAt = begunAt + TimeUnit.MILLISECONDS.toNanos(millis);
+        String first = line(0, 400);
+        if (!first.matches("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?")) {
+            throw new HttpProblem(400, "malformed status line");
+        }
+        int status = Integer.parseInt(first.substring(9, 12));
+        List<String> headers = headers();
+        if (!withBody) {
+            framing(headers);
+        }
+        boolean none = status == 204 || status == 304 || status < 200;
+        return new Message("", "", status, headers, withBody && !none ? body(headers, true) : Slice.EMPTY,
+                keeps(headers, first.substring(0, 8)), begunAt);
+    }
+
+    /** The next line of an open-ended chunked body, without its end; null where the body ends. */
+    public Slice bodyLine(int millis, int longest) throws IOException, HttpProblem {
+        giveUpAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        byte[] line = new byte[256];
+        int length = 0;
+        while (true) {
+            if (chunked && chunkLeft == 0 && !nextChunk()) {
+                return null;
+            }
+            if (at == end) {
+                fill();
+            }
+            int most = chunked ? Math.min(end, at + chunkLeft) : end;
+            int from = at;
+            while (at < most && buffer[at] != '\n') {
+                at++;
+            }
+            if (length + at - from > longest) {
+                throw new HttpProblem(413, "line too long");
+            }
+            if (length + at - from > line.length) {
+                line = Arrays.copyOf(line, Math.max(2 * line.length, length + at - from));
+            }
+            System.arraycopy(buffer, from, line, length, at - from);
+            length += at - from;
+            boolean whole = at < most;
+            at += whole ? 1 : 0;
+            chunkLeft -= chunked ? at - from : 0;
+            if (chunked && chunkLeft == 0) {
+                chunkEnd();
+            }
+            if (whole) {
+                return new Slice(line, 0, length > 0 && line[length - 1] == '\r' ? length - 1 : length);
+            }
+        }
+    }
+
+    private Slice body(List<String> headers, boolean answer) throws IOException, HttpProblem {
+        int length = framing(headers);
+        if (chunked) {
+            return chunks();
+        }
+        if (length < 0 && !answer) {
+            return Slice.EMPTY;
+        }
+        if (length < 0) {
+            return untilClosed();
+        }
+        reserve(length);
+        while (end - at < length) {
+            fill();
+        }
+        at += length;
+        return new Slice(buffer, at - length, length);
+    }
+
+    /** The length that the head gives, or -1; two that differ, or both kinds at once, hide a second message. */
+    private int framing(List<String> headers) throws HttpProblem {
+        int length = -1;
+        chunked = false;
+        chunkLeft = 0;
+        for (int i = 0; i < headers.size(); i += 2) {
+            String value = headers.get(i + 1);
+            if (headers.get(i).equalsIgnoreCase("Transfer-Encoding")) {
+                if (!value.equalsIgnoreCase("chunked") || chunked) {
+                    throw new HttpProblem(501, "unknown transfer coding");
+                }
+                chunked = true;
+            } else if (headers.get(i).equalsIgnoreCase("Content-Length")) {
+                if (!value.matches("[0-9]{1,18}")) {
+                    throw new HttpProblem(400, "malformed Content-Length");
+                }
+                long given = Long.parseLong(value);
+                if (given > mostBody) {
+                    throw new HttpProblem(413, "body too large");
+                }
+                if (length >= 0 && length != given) {
+                    throw new HttpProblem(400, "two lengths");
+                }
+                length = (int) given;
+            }
+        }
+        if (chunked && length >= 0) {
+            throw new HttpProblem(400, "both a length and chunks");
+        }
+        return length;
+    }
+
+    private Slice chunks() throws IOException, HttpProblem {
+        byte[] body = new byte[1024];
+        int length = 0;
+        while (nextChunk()) {
+            if (length + chunkLeft > mostBody) {
+                throw new HttpProblem(413, "body too large");
+            }
+            if (length + chunkLeft > body.length) {
+                body = Arrays.copyOf(body, Math.max(2 * body.length, length + chunkLeft));
+            }
+            while (chunkLeft > 0) {
+                if (at == end) {
+                    fill();
+                }
+                int n = Math.min(chunkLeft, end - at);
+                System.arraycopy(buffer, at, body, length, n);
+                at += n;
+                length += n;
+                chunkLeft -= n;
+            }
+            chunkEnd();
+        }
+        return new Slice(body, 0, length);
+    }
+
+    /** Reads the size of the next chunk; false at the last one, after its trailers. */
+    private boolean nextChunk() throws IOException, HttpProblem {
+        String size = line(MOST_LINE, 400).split(";", 2)[0].trim();
+        if (!size.matches("[0-9a-fA-F]{1,7}")) {
+            throw new HttpProblem(400, "malformed chunk size");
+        }
+        chunkLeft = Integer.parseInt(size, 16);
+        if (chunkLeft == 0) {
+            headers();
+        }
+        return chunkLeft > 0;
+    }
+
+    private void chunkEnd() throws IOException, HttpProblem {
+        if (!line(MOST_LINE, 400).isEmpty()) {
+            throw new HttpProblem(400, "malformed chunk");
+        }
+    }
+
+    private Slice untilClosed() throws IOException, HttpProblem {
+        int from = at;
+        try {
+            while (true) {
+                if (end - from > mostBody) {
+                    throw new HttpProblem(413, "body too large");
+                }
+                at = from;
+                fill();
+            }
+        } catch (EOFException e) {
+            at = end;
+            return new Slice(buffer, from, end - from);
+        }
+    }
+
+    private List<String> headers() throws IOException, HttpProblem {
+        var headers = new ArrayList<String>();
+        int left = MOST_HEAD;
+        for (String line = line(left, 431); !line.isEmpty(); line = line(left, 431)) {
+            left -= line.length() + 2;
+            int colon = line.indexOf(':');
+            if (colon < 1 || line.charAt(0) <= ' ' || line.charAt(colon - 1) <= ' ') {
+                throw new HttpProblem(400, "malformed header");
+            }
+            if (headers.size() >= 2 * MOST_HEADERS || left <= 0) {
+                throw new HttpProblem(431, "head too large");
+            }
+            headers.add(line.substring(0, colon));
+            headers.add(line.substring(colon + 1).trim());
+        }
+        return headers;
+    }
+
+    /** A line up to its end, of at most so many bytes; 0 for as long as a head may be. */
+    private String line(int most, int tooLong) throws IOException, HttpProblem {
+        int longest = most == 0 ? MOST_HEAD : most;
+        for (int i = 0;; i++) {
+            if (i > longest) {
+                throw new HttpProblem(tooLong, "line too long");
+            }
+            if (at + i == end) {
+                fill(); // may move the line; it still begins at 'at'
+            }
+            if (buffer[at + i] == '\n') {
+                int length = i > 0 && buffer[at + i - 1] == '\r' ? i - 1 : i;
+                String line = new String(buffer, at, length, StandardCharsets.ISO_8859_1);
+                at += i + 1;
+                return line;
+            }
+        }
+    }
+
+    private static boolean keeps(List<String> headers, String version) {
+        String connection = Message.find(headers, "Connection");
+        return connection == null ? version.equals("HTTP/1.1") : !connection.equalsIgnoreCase("close");
+    }
+
+    /** Makes room for so many bytes in one piece from here on. */
+    private void reserve(int length) {
+        if (at + length > buffer.length) {
+            buffer = Arrays.copyOfRange(buffer, at, at + length + FIRST_SIZE);
+            end -= at;
+            at = 0;
+        }
+    }
+
+    private void fill() throws IOException, HttpProblem {
+        if (end == buffer.length) {
+            reserve(2 * (end - at) + 1);
+        }
+        long left = TimeUnit.NANOSECONDS.toMillis(giveUpAt - System.nanoTime());
+        try {
+            if (left <= 0) {
+                throw new SocketTimeoutException();
+            }
+            socket.setSoTimeout((int) left);
+            if (!more()) {
+                throw new EOFException("closed within a message");
+            }
+        } catch (SocketTimeoutException e) {
+            throw new HttpProblem(408, "half a message, then silence");
+        }
+    }
+
+    private boolean more() throws IOException {
+        int n = in.read(buffer, end, buffer.length - end);
+        end += Math.max(0, n);
+        return n > 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/wallmoor/http/HttpOut.java
@@ -0,0 +1,41 @@
+package wallmoor.http;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/** Writes HTTP/1.1 messages, each with its length and in one write. */
+public final class HttpOut {
+    private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(200, "OK"),
+            Map.entry(400, "Bad Request"), Map.entry(404, "Not Found"), Map.entry(405, "Method Not Allowed"),
+            Map.entry(406, "Not Acceptable"), Map.entry(408, "Request Timeout"),
+            Map.entry(413, "Content Too Large"), Map.entry(414, "URI Too Long"),
+            Map.entry(429, "Too Many Requests"), Map.entry(431, "Request Header Fields Too Large"),
+            Map.entry(500, "Internal Server Error"), Map.entry(501, "Not Implemented"),
+            Map.entry(502, "Bad Gateway"), Map.entry(503, "Service Unavailable"), Map.entry(504, "Gateway Timeout"),
+            Map.entry(505, "HTTP Version Not Supported"));
+
+    private HttpOut() {
+    }
+
+    /** Writes an answer; {@code headers} are whole lines, each with its end. */
+    public static void answer(OutputStream out, int status, String headers, byte[] body, boolean withBody,
+            boolean keep) throws IOException {
+        String head = "HTTP/1.1 " + status + " " + REASONS.getOrDefault(status, "Status") + "\r\n" + headers
+                + "Content-Length: " + body.length + "\r\n" + (keep ? "" : "Connection: close\r\n") + "\r\n";
+        write(out, head, withBody ? body : Slice.EMPTY.buffer());
+    }
+
+    /** Writes a request without a body. */
+    public static void get(OutputStream out, String host, String target, String headers) throws IOException {
+        write(out, "GET " + target + " HTTP/1.1\r\nHost: " + host + "\r\n" + headers + "\r\n", Slice.EMPTY.buffer());
+    }
+
+    private static void write(OutputStream out, String head, byte[] body) throws IOException {
+        byte[] first = head.getBytes(StandardCharsets.ISO_8859_1);
+        byte[] all = java.util.Arrays.copyOf(first, first.length + body.length);
+        System.arraycopy(body, 0, all, first.length, body.length);
+        out.write(all);
+    }
+}
--- /dev/null
+++ b/src/main/java/wallmoor/platform/Platform.java
@@ -0,0 +1,180 @@
+package wallmoor.platform;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import wallmoor.config.Launch;
+import wallmoor.core.Clock;
+import wallmoor.core.Gatherer;
+import wallmoor.core.Query;
+import wallmoor.core.Step;
+import wallmoor.http.HttpProblem;
+import wallmoor.http.Message;
+import wallmoor.http.Server;
+import wallmoor.http.Slice;
+import wallmoor.http.Threads;
+import wallmoor.json.Json;
+
+/** The platform's front: queries by {@code POST /api}, parts to workers by frames, the list by discovery's watch. */
+public final class Platform {
+    /** Time kept back from the client's deadline for the answer's way and a busy machine (microseconds). */
+    private static final long FOR_THE_WIRE = 10_000;
+    private static final int MOST_PARTS = 1000;
+
+    private final Launch launch;
+    private final Clock clock;
+    private final Gatherer gatherer;
+    private final WorkerLinks workers;
+    private final Server server;
+    private final DiscoveryWatch watch;
+    private final List<wallmoor.core.Member> known;
+    private volatile boolean ready;
+
+    /** Makes the front and listens; nothing is answered before {@link #start}. */
+    public Platform(Launch launch, Clock clock, Consumer<String> log) throws IOException, Json.Malformed {
+        this.launch = launch;
+        this.clock = clock;
+        gatherer = new Gatherer(launch.settings(), launch.seed(), clock, log);
+        int spare = launch.sockets() / 4;
+        long retire = Math.max(launch.connIdleMillis() / 2, launch.connIdleMillis() - 1500);
+        workers = new WorkerLinks(gatherer, new WorkerLinks.Limits(launch.streams(), launch.connectMillis(),
+                TimeUnit.MILLISECONDS.toNanos(retire), spare));
+        Members list = launch.known() == null ? new Members(0, true, List.of())
+                : Members.of(launch.known(), launch);
+        known = list.members();
+        watch = new DiscoveryWatch(launch, list.revision(), gatherer, log);
+        server = new Server("api", launch.listen(), Math.min(384, spare + spare / 2), 256, this::handle, log);
+    }
+
+    /** Begins to serve: the list as last held at once, news of it as discovery has them. */
+    public void start() {
+        gatherer.start(known);
+        Threads.start("timers", this::tick);
+        Threads.start("discovery", watch::run);
+        server.start();
+    }
+
+    /** Whether the front of the platform may send clients here. */
+    public void ready(boolean is) {
+        ready = is;
+    }
+
+    /** The rules on a planned restart: not ready, but queries are taken through the hand-over, and all answered. */
+    public void leave(long handOverMillis, long finishMillis) throws IOException, InterruptedException {
+        ready = false;
+        server.leave();
+        Thread.sleep(handOverMillis);
+        server.finish(finishMillis);
+    }
+
+    private void tick() {
+        try {
+            while (true) {
+                gatherer.tick(1000);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void handle(Message request, Server.Exchange exchange)
+            throws IOException, HttpProblem, InterruptedException {
+        String path = request.target().split("\\?", 2)[0];
+        if (path.equals("/-/ready")) {
+            if (!request.method().equals("GET") && !request.method().equals("HEAD")) {
+                exchange.answer(405, "Allow: GET, HEAD\r\n", text("method not allowed"));
+            } else {
+                exchange.answer(ready ? 200 : 503, "", text(ready ? "ready" : "not ready"));
+            }
+        } else if (!path.equals("/api")) {
+            exchange.answer(404, "", text("no such path"));
+        } else if (!request.method().equals("POST")) {
+            exchange.answer(405, "Allow: POST\r\n", text("method not allowed"));
+        } else {
+            query(request, exchange);
+        }
+    }
+
+    private void query(Message request, Server.Exchange exchange)
+            throws IOException, HttpProblem, InterruptedException {
+        Json.Obj body;
+        try {
+            Slice s = request.body();
+            body = Json.object(s.buffer(), s.from(), s.length());
+        } catch (Json.Malformed e) {
+            throw new HttpProblem(400, e.getMessage());
+        }
+        String q = body.text("q");
+        int queryClass = launch.classes().indexOf(request.header("X-Class"));
+        String id = request.header("X-Request-Id");
+        if (q == null || queryClass < 0 || id == null || !id.matches("[!-~]{1,64}")) {
+            throw new HttpProblem(400, "X-Request-Id, X-Class or q is absent or malformed");
+        }
+        long deadline = clock.at(request.begunAt()) + deadline(request.header("X-Deadline")) - FOR_THE_WIRE;
+        Query query = gatherer.open(id, queryClass, deadline, "1".equals(request.header("X-Retry")), asks(body),
+                q.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        if (query == null) {
+            throw new HttpProblem(400, "X-Request-Id is in use");
+        }
+        exchange.whenGone(() -> gatherer.gone(query));
+        answer(exchange, gatherer.run(query, workers));
+    }
+
+    private static void answer(Server.Exchange exchange, Step.Final end) throws IOException {
+        if (end instanceof Step.Answer a) {
+            exchange.answer(200, "Content-Type: application/json\r\n", hits(a));
+        } else if (end instanceof Step.Refuse r) {
+            exchange.answer(503, "Retry-After: " + seconds(r.comeBackAfter()) + "\r\n", text("refused"));
+        } else if (end instanceof Step.Fail f) {
+            exchange.answer(f.late() ? 504 : 502, "", text("failed"));
+        }
+    }
+
+    private static String seconds(long micros) {
+        return String.format(java.util.Locale.ROOT, "%.3f", micros / 1e6);
+    }
+
+    private static byte[] hits(Step.Answer answer) {
+        var to = new StringBuilder(64 + 64 * answer.values().size());
+        to.append("{\"complete\":").append(answer.whole()).append(",\"hits\":[");
+        for (int i = 0; i < answer.values().size(); i++) {
+            Step.Value value = answer.values().get(i);
+            to.append(i == 0 ? "" : ",").append("{\"shard\":").append(value.shard()).append(",\"doc\":");
+            Json.quote(to, new String(value.bytes(), java.nio.charset.StandardCharsets.UTF_8));
+            to.append('}');
+        }
+        return to.append("]}").toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    private static byte[] text(String text) {
+        return (text + "\n").getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    private static long deadline(String value) throws HttpProblem {
+        if (value == null || !value.matches("[0-9]{1,12}[mu]")) {
+            throw new HttpProblem(400, "X-Deadline is absent or malformed");
+        }
+        long number = Long.parseLong(value.substring(0, value.length() - 1));
+        return value.endsWith("m") ? 1000 * number : number;
+    }
+
+    private List<Query.Ask> asks(Json.Obj body) throws HttpProblem {
+        List<?> shards = body.list("shards");
+        var asks = new ArrayList<Query.Ask>();
+        var seen = new HashSet<Integer>();
+        for (Object entry : shards == null ? List.of() : shards) {
+            if (!(entry instanceof Json.Obj part) || !(part.get("shard") instanceof Long shard) || shard < 0
+                    || shard >= launch.settings().layout().shards() || !seen.add(shard.intValue())) {
+                throw new HttpProblem(400, "shards holds what is no part");
+            }
+            asks.add(new Query.Ask(shard.intValue(), part.number("weight", 0), (long) part.number("cost", -1)));
+        }
+        if (asks.isEmpty() || asks.size() > MOST_PARTS) {
+            throw new HttpProblem(400, "shards is absent, empty or too long");
+        }
+        return asks;
+    }
+}
--- /dev/null
+++ b/src/main/java/wallmoor/platform/WorkerConnection.java
@@ -0,0 +1,436 @@
+package wallmoor.platform;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import wallmoor.config.Launch;
+import wallmoor.core.Attempt;
+import wallmoor.core.Gatherer;
+import wallmoor.core.Outcome;
+import wallmoor.core.Step;
+
+/**
+ * One connection to a worker, which carries many parts at once. A thread writes (and connects first), another reads;
+ * a worker that stops reading holds up the writer of this connection only. An attempt is known here until it is
+ * reported, and it is reported by whoever takes it out of {@link #out}.
+ */
+final class WorkerConnection {
+    private static final int MOST_FRAME = 64 * 1024 + 1024;
+    /** A connection this long in one write has a peer that no longer reads. */
+    private static final long STUCK_NANOS = TimeUnit.MILLISECONDS.toNanos(1500);
+
+    private enum State { QUEUED, WRITING, WRITTEN }
+
+    private static final class Entry {
+        final Attempt attempt;
+        State state = State.QUEUED;
+        Outcome calledOff;
+
+        Entry(Attempt attempt) {
+            this.attempt = attempt;
+        }
+    }
+
+    /** A frame to write: a call, or the end of an attempt. */
+    private record Frame(Step.Send send, Entry cancel) {
+    }
+
+    private final Gatherer gatherer;
+    private final WorkerLinks.Limits limits;
+    private final String name;
+    private final String at;
+    private final InetSocketAddress address;
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Condition work = lock.newCondition();
+    /** Bounded: a call needs room in {@link #out}, and an attempt is cancelled once. */
+    private final Deque<Frame> frames = new ArrayDeque<>();
+    private final Map<String, Entry> out = new LinkedHashMap<>();
+    private final Socket socket = new Socket();
+    private boolean closed;
+    private boolean retired;
+    private long usedAt = System.nanoTime();
+    private volatile long writingSince;
+
+    WorkerConnection(Gatherer gatherer, WorkerLinks.Limits limits, String name, String address) {
+        this.gatherer = gatherer;
+        this.limits = limits;
+        this.name = name;
+        this.at = address;
+        this.address = Launch.address("host_port", address);
+    }
+
+    String name() {
+        return name;
+    }
+
+    /** Whether it goes to this address; the list may give a worker a new one. */
+    boolean goesTo(String other) {
+        return at.equals(other);
+    }
+
+    /** Takes nothing more, and closes once nothing is out on it. */
+    void retire() {
+        lock.lock();
+        try {
+            retired = true;
+            work.signal();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Takes a call if there is room and the connection is not about to be retired. */
+    boolean offer(Step.Send send) {
+        lock.lock();
+        try {
+            if (closed || retired || out.size() + send.attempts().size() > limits.streams() || stuck()
+                    || out.isEmpty() && System.nanoTime() - usedAt > limits.retireNanos()) {
+                return false;
+            }
+            for (Attempt a : send.attempts()) {
+                if (out.containsKey(a.partId())) {
+                    return false; // an earlier attempt of this part is not off this connection yet
+                }
+            }
+            send.attempts().forEach(a -> out.put(a.partId(), new Entry(a)));
+            frames.add(new Frame(send, null));
+            work.signal();
+            return true;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Calls an attempt off if it is here. One not yet written ends at once; else its end is written first. */
+    boolean cancel(Attempt attempt, Outcome as) {
+        lock.lock();
+        try {
+            Entry entry = out.get(attempt.partId());
+            if (entry == null || entry.attempt != attempt) {
+                return false;
+            }
+            if (entry.state == State.QUEUED) {
+                out.remove(attempt.partId());
+            } else {
+                entry.calledOff = as;
+                frames.add(new Frame(null, entry));
+                work.signal();
+                return true;
+            }
+        } finally {
+            lock.unlock();
+        }
+        gatherer.report(attempt, as == Outcome.TIMED_OUT ? Outcome.NO_CONNECTION : Outcome.NEVER_SENT, null);
+        return true;
+    }
+
+    boolean isClosed() {
+        lock.lock();
+        try {
+            return closed;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Closes it if nothing is out on it. */
+    void closeIfIdle() {
+        lock.lock();
+        try {
+            if (out.isEmpty()) {
+                close();
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Closes it if it no longer takes what is written. */
+    void closeIfStuck() {
+        if (stuck()) {
+            close();
+        }
+    }
+
+    private boolean stuck() {
+        long since = writingSince;
+        return since != 0 && System.nanoTime() - since > STUCK_NANOS;
+    }
+
+    private void close() {
+        lock.lock();
+        try {
+            closed = true;
+            work.signal();
+        } finally {
+            lock.unlock();
+        }
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // it is closed as far as it can be
+        }
+    }
+
+    /** Connects, then writes frames until the connection ends; then reports what is still out on it. */
+    void run() {
+        boolean connected = false;
+        try {
+            socket.setTcpNoDelay(true);
+            socket.connect(address, limits.connectMillis());
+            connected = true;
+            wallmoor.http.Threads.start(name + "-read", this::read);
+            write();
+        } catch (IOException | RuntimeException | OutOfMemoryError e) {
+            // refused, too slow or broken: what that means for each part is told below
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            close();
+            reportAll();
+        }
+    }
+
+    private void write() throws IOException, InterruptedException {
+        while (true) {
+            Frame frame = next();
+            if (frame == null) {
+                return;
+            }
+            if (frame.cancel != null) {
+                Entry entry = frame.cancel;
+                write(frame('X', entry.attempt.partId().getBytes(StandardCharsets.ISO_8859_1)));
+                if (take(entry)) {
+                    gatherer.report(entry.attempt, entry.calledOff, null);
+                }
+                continue;
+            }
+            byte[] call = call(frame.send);
+            if (call == null) {
+                continue;
+            }
+            write(call);
+            mark(frame.send, State.WRITTEN);
+        }
+    }
+
+    private void write(byte[] bytes) throws IOException {
+        writingSince = System.nanoTime();
+        try {
+            socket.getOutputStream().write(bytes);
+        } finally {
+            writingSince = 0;
+        }
+    }
+
+    /** The next frame; null when the connection is closed or has been idle for nearly as long as it may. */
+    private Frame next() throws InterruptedException {
+        lock.lock();
+        try {
+            usedAt = System.nanoTime();
+            while (frames.isEmpty() && !closed) {
+                long left = limits.retireNanos() - (System.nanoTime() - usedAt);
+                if ((left <= 0 || retired) && out.isEmpty()) {
+                    closed = true;
+                    return null;
+                }
+                work.awaitNanos(Math.max(left, 1_000_000));
+            }
+            return closed ? null : frames.poll();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** The frame of a call, without parts called off since; those for a worker that drains now are not sent. */
+    private byte[] call(Step.Send send) {
+        var text = new java.io.ByteArrayOutputStream(256);
+        var unsent = new HashMap<Attempt, Outcome>();
+        lock.lock();
+        try {
+            for (Attempt a : send.attempts()) {
+                Entry entry = out.get(a.partId());
+                if (entry == null || entry.attempt != a) {
+                    continue;
+                }
+                long millis = (a.until() - gatherer.now()) / 1000;
+                if (!send.worker().serving() || millis <= 0) {
+                    out.remove(a.partId());
+                    unsent.put(a, Outcome.NEVER_SENT);
+                    continue;
+                }
+                entry.state = State.WRITING;
+                byte[] carried = (byte[]) a.query().carries();
+                text.writeBytes((a.partId() + " " + a.shard() + " d=" + millis + " " + carried.length + "\n")
+                        .getBytes(StandardCharsets.ISO_8859_1));
+                text.writeBytes(carried);
+            }
+        } finally {
+            lock.unlock();
+        }
+        if (!unsent.isEmpty()) {
+            gatherer.report(unsent);
+        }
+        return text.size() == 0 ? null : frame('Q', text.toByteArray());
+    }
+
+    private static byte[] frame(char letter, byte[] rest) {
+        byte[] frame = new byte[5 + rest.length];
+        int length = 1 + rest.length;
+        for (int i = 0; i < 4; i++) {
+            frame[i] = (byte) (length >>> 8 * (3 - i));
+        }
+        frame[4] = (byte) letter;
+        System.arraycopy(rest, 0, frame, 5, rest.length);
+        return frame;
+    }
+
+    private void mark(Step.Send send, State state) {
+        lock.lock();
+        try {
+            for (Attempt a : send.attempts()) {
+                Entry entry = out.get(a.partId());
+                if (entry != null && entry.attempt == a) {
+                    entry.state = state;
+                }
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private boolean take(Entry entry) {
+        lock.lock();
+        try {
+            return out.remove(entry.attempt.partId(), entry);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void reportAll() {
+        var ended = new LinkedHashMap<Attempt, Outcome>();
+        lock.lock();
+        try {
+            out.values().forEach(e -> ended.put(e.attempt, e.calledOff != null ? e.calledOff
+                    : e.state == State.WRITTEN ? Outcome.RESET : Outcome.NO_CONNECTION));
+            out.clear();
+            frames.clear();
+        } finally {
+            lock.unlock();
+        }
+        if (!ended.isEmpty()) {
+            gatherer.report(ended);
+        }
+    }
+
+    // ---- reading ------------------------------------------------------------------------------------------
+
+    private void read() {
+        byte[] buffer = new byte[4096];
+        int end = 0;
+        try {
+            InputStream in = socket.getInputStream();
+            while (true) {
+                int at = 0;
+                while (end - at >= 5) {
+                    int length = length(buffer, at);
+                    if (length < 1 || length > MOST_FRAME) {
+                        return; // a bad frame: nothing after it can be trusted
+                    }
+                    if (end - at < 4 + length) {
+                        break;
+                    }
+                    if (!frame(buffer, at + 4, length)) {
+                        return;
+                    }
+                    at += 4 + length;
+                }
+                System.arraycopy(buffer, at, buffer, 0, end - at);
+                end -= at;
+                int wanted = end >= 4 ? 4 + Math.min(MOST_FRAME, Math.max(1, length(buffer, 0))) : 5;
+                if (wanted > buffer.length) {
+                    buffer = Arrays.copyOf(buffer, wanted);
+                }
+                int n = in.read(buffer, end, buffer.length - end);
+                if (n < 0) {
+                    return;
+                }
+                end += n;
+            }
+        } catch (IOException | RuntimeException e) {
+            // broken: the writer reports what is out
+        } finally {
+            close();
+        }
+    }
+
+    private static int length(byte[] b, int at) {
+        return (b[at] & 0xff) << 24 | (b[at + 1] & 0xff) << 16 | (b[at + 2] & 0xff) << 8 | b[at + 3] & 0xff;
+    }
+
+    /** Handles the frame whose letter is at {@code at}; false if it makes the connection useless. */
+    private boolean frame(byte[] b, int at, int length) {
+        int end = at + length;
+        switch (b[at]) {
+            case 'A':
+                return answer(b, at + 1, end);
+            case 'P', 'L':
+                return true; // no probe is ever sent
+            default:
+                return false; // E, or no frame at all
+        }
+    }
+
+    private boolean answer(byte[] b, int from, int end) {
+        int lineEnd = from;
+        while (lineEnd < end && b[lineEnd] != '\n') {
+            lineEnd++;
+        }
+        if (lineEnd == end) {
+            return false;
+        }
+        String[] line = new String(b, from, lineEnd - from, StandardCharsets.ISO_8859_1).split(" ", -1);
+        if (line.length < 2) {
+            return false;
+        }
+        Outcome outcome = switch (line[1]) {
+            case "ok" -> Outcome.SERVED;
+            case "err" -> Outcome.ERROR;
+            case "busy" -> Outcome.BUSY;
+            default -> null;
+        };
+        if (outcome == null) {
+            return false;
+        }
+        Entry entry;
+        lock.lock();
+        try {
+            usedAt = System.nanoTime();
+            entry = out.get(line[0]);
+            if (entry != null && entry.state != State.QUEUED) {
+                out.remove(line[0]);
+            } else {
+                entry = null; // the answer to an attempt called off crossed its end
+            }
+        } finally {
+            lock.unlock();
+        }
+        if (entry != null) {
+            byte[] value = outcome == Outcome.SERVED ? Arrays.copyOfRange(b, lineEnd + 1, end) : null;
+            gatherer.report(entry.attempt, outcome, value);
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/wallmoor/platform/WorkerLinks.java
@@ -0,0 +1,124 @@
+package wallmoor.platform;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import wallmoor.config.ConfigException;
+import wallmoor.core.Attempt;
+import wallmoor.core.Gatherer;
+import wallmoor.core.Outcome;
+import wallmoor.core.Step;
+import wallmoor.core.Workers;
+import wallmoor.http.Threads;
+
+/** The connections to all workers: a set for each, opened as its streams fill up. */
+final class WorkerLinks implements Workers {
+    /** Connections to one worker at most: each holds up to the streams limit, so that a few carry all. */
+    private static final int MOST_CONNECTIONS = 4;
+
+    /** What the settings say of connections. */
+    record Limits(int streams, int connectMillis, long retireNanos, int mostConnections) {
+    }
+
+    private final Gatherer gatherer;
+    private final Limits limits;
+    private final Map<String, List<WorkerConnection>> links = new HashMap<>();
+    private final AtomicLong numbers = new AtomicLong();
+    private int open;
+
+    WorkerLinks(Gatherer gatherer, Limits limits) {
+        this.gatherer = gatherer;
+        this.limits = limits;
+        Threads.start("worker-watch", this::watch);
+    }
+
+    @Override
+    public void send(Step.Send send) {
+        WorkerConnection fresh = null;
+        synchronized (this) {
+            List<WorkerConnection> connections = links.computeIfAbsent(send.worker().id(), id -> new ArrayList<>());
+            String address = send.worker().address();
+            connections.stream().filter(c -> !c.goesTo(address)).forEach(WorkerConnection::retire);
+            if (send.fresh()) {
+                connections.forEach(WorkerConnection::closeIfIdle);
+            }
+            connections.removeIf(WorkerConnection::isClosed);
+            for (WorkerConnection c : connections) {
+                if (c.offer(send)) {
+                    return;
+                }
+            }
+            if (connections.size() < MOST_CONNECTIONS && open < limits.mostConnections()) {
+                try {
+                    fresh = new WorkerConnection(gatherer, limits, "worker-" + numbers.incrementAndGet(), address);
+                    if (fresh.offer(send)) {
+                        connections.add(fresh);
+                        open++;
+                    } else {
+                        fresh = null;
+                    }
+                } catch (ConfigException e) {
+                    fresh = null; // discovery gave no address that can be connected to
+                }
+            }
+        }
+        if (fresh == null || !start(fresh)) {
+            var ended = new HashMap<Attempt, Outcome>();
+            send.attempts().forEach(a -> ended.put(a, Outcome.NO_CONNECTION));
+            gatherer.report(ended);
+        }
+    }
+
+    private boolean start(WorkerConnection connection) {
+        try {
+            Threads.start(connection.name() + "-write", () -> {
+                try {
+                    connection.run();
+                } finally {
+                    synchronized (this) {
+                        open--;
+                    }
+                }
+            });
+            return true;
+        } catch (OutOfMemoryError e) {
+            synchronized (this) {
+                open--;
+                links.values().forEach(l -> l.remove(connection));
+            }
+            return false;
+        }
+    }
+
+    @Override
+    public void cancel(Step.Cancel cancel) {
+        List<WorkerConnection> connections;
+        synchronized (this) {
+            connections = List.copyOf(links.getOrDefault(cancel.attempt().worker().id(), List.of()));
+        }
+        for (WorkerConnection c : connections) {
+            if (c.cancel(cancel.attempt(), cancel.as())) {
+                return;
+            }
+        }
+        // not on any connection: it is being reported by one that has ended, and only the first report counts
+        gatherer.report(cancel.attempt(), cancel.as(), null);
+    }
+
+    private void watch() {
+        try {
+            while (true) {
+                Thread.sleep(250);
+                List<WorkerConnection> all = new ArrayList<>();
+                synchronized (this) {
+                    links.values().forEach(all::addAll);
+                }
+                all.forEach(WorkerConnection::closeIfStuck);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/test/java/wallmoor/BrainTest.java
+++ b/src/test/java/wallmoor/decision/BrainTest.java
@@ -1,4 +1,4 @@
-package wallmoor;
+package wallmoor.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -13,15 +13,15 @@
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import wallmoor.PeerMessage.Entry;
-import wallmoor.RouterApi.Effect;
-import wallmoor.RouterApi.LeafEntry;
-import wallmoor.RouterApi.LeafState;
-import wallmoor.RouterApi.ListKind;
-import wallmoor.RouterApi.Outcome;
-import wallmoor.RouterApi.PartArrived;
-import wallmoor.RouterApi.QueryArrived;
-import wallmoor.RouterApi.QueryClass;
+import wallmoor.decision.PeerMessage.Entry;
+import wallmoor.decision.RouterApi.Effect;
+import wallmoor.decision.RouterApi.LeafEntry;
+import wallmoor.decision.RouterApi.LeafState;
+import wallmoor.decision.RouterApi.ListKind;
+import wallmoor.decision.RouterApi.Outcome;
+import wallmoor.decision.RouterApi.PartArrived;
+import wallmoor.decision.RouterApi.QueryArrived;
+import wallmoor.decision.RouterApi.QueryClass;
 
 class BrainTest {
     private static final long MS = Rig.MS;
--- a/src/test/java/wallmoor/Rig.java
+++ b/src/test/java/wallmoor/decision/Rig.java
@@ -1,23 +1,23 @@
-package wallmoor;
+package wallmoor.decision;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import wallmoor.RouterApi.AttemptEnded;
-import wallmoor.RouterApi.Costs;
-import wallmoor.RouterApi.Effect;
-import wallmoor.RouterApi.Layout;
-import wallmoor.RouterApi.LeafEntry;
-import wallmoor.RouterApi.LeafState;
-import wallmoor.RouterApi.Limits;
-import wallmoor.RouterApi.ListKind;
-import wallmoor.RouterApi.Outcome;
-import wallmoor.RouterApi.PartArrived;
-import wallmoor.RouterApi.QueryArrived;
-import wallmoor.RouterApi.QueryClass;
-import wallmoor.RouterApi.Rules;
-import wallmoor.RouterApi.Settings;
-import wallmoor.RouterApi.Tenant;
+import wallmoor.decision.RouterApi.AttemptEnded;
+import wallmoor.decision.RouterApi.Costs;
+import wallmoor.decision.RouterApi.Effect;
+import wallmoor.decision.RouterApi.Layout;
+import wallmoor.decision.RouterApi.LeafEntry;
+import wallmoor.decision.RouterApi.LeafState;
+import wallmoor.decision.RouterApi.Limits;
+import wallmoor.decision.RouterApi.ListKind;
+import wallmoor.decision.RouterApi.Outcome;
+import wallmoor.decision.RouterApi.PartArrived;
+import wallmoor.decision.RouterApi.QueryArrived;
+import wallmoor.decision.RouterApi.QueryClass;
+import wallmoor.decision.RouterApi.Rules;
+import wallmoor.decision.RouterApi.Settings;
+import wallmoor.decision.RouterApi.Tenant;
 
 /** One Brain with a hand-turned clock; every action is written down as a line of words. */
 final class Rig implements RouterApi.Actions {
