Add the OGC features front, inventory, warm-up and the bound on what is held

The second front (OGC API - Features Core, GeoJSON) runs on the same facade: a page is a query, a shard's share a part, a feature server a worker.

A real gatherer is always allowed Retry-After, since HTTP can carry it; the value stays the module's. Made-up queries through a second gatherer warm the classes up before the ready path says 200.

--- a/src/main/java/wallmoor/Main.java
+++ b/src/main/java/wallmoor/Main.java
@@ -10,8 +10,11 @@
 import wallmoor.adapter.WireException;
 import wallmoor.config.ConfigException;
 import wallmoor.config.Launch;
+import wallmoor.config.OgcConfig;
 import wallmoor.core.Clock;
+import wallmoor.core.WarmUp;
 import wallmoor.json.Json;
+import wallmoor.ogc.Features;
 import wallmoor.platform.Platform;
 
 /** The command line: {@code serve} is a real gatherer, {@code drill} speaks the simulator's wire on standard streams. */
@@ -50,9 +53,17 @@
     private static void serve() {
         try {
             Launch launch = Launch.read(System.getenv());
-            var platform = new Platform(launch, new Clock(), Main::log);
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(platform), "leave"));
+            OgcConfig ogc = OgcConfig.read(System.getenv(), launch);
+            var clock = new Clock();
+            var platform = new Platform(launch, clock, Main::log);
+            Features features = ogc == null ? null : new Features(ogc, launch, clock, Main::log);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(platform, features), "leave"));
+            WarmUp.run(launch.settings());
             platform.start();
+            if (features != null) {
+                features.start();
+                log("features on " + ogc.listen());
+            }
             platform.ready(true);
             log("serving as " + launch.name() + " on " + launch.listen());
             Thread.currentThread().join();
@@ -67,11 +78,33 @@
         }
     }
 
-    private static void leave(Platform platform) {
+    /** SIGTERM: not ready, still taking what comes through the hand-over, and out once all is answered. */
+    private static void leave(Platform platform, Features features) {
+        log("told to leave");
+        platform.ready(false);
+        var second = new Thread(() -> {
+            if (features != null) {
+                leave(features::leave);
+            }
+        }, "leave-ogc");
+        second.start();
+        leave(platform::leave);
         try {
-            log("told to leave");
-            platform.leave(HAND_OVER_MILLIS, FINISH_MILLIS);
-            log("left");
+            second.join(HAND_OVER_MILLIS + FINISH_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        log("left");
+    }
+
+    /** A front's way out. */
+    private interface Leaving {
+        void leave(long handOverMillis, long finishMillis) throws IOException, InterruptedException;
+    }
+
+    private static void leave(Leaving front) {
+        try {
+            front.leave(HAND_OVER_MILLIS, FINISH_MILLIS);
         } catch (IOException | InterruptedException e) {
             log("left in haste: " + e);
         }
--- a/src/main/java/wallmoor/config/Launch.java
+++ b/src/main/java/wallmoor/config/Launch.java
@@ -49,6 +49,10 @@
         Map<String, String> flat = Flat.of(nested);
         Settings settings;
         try {
+            if (new SettingsReader(flat).settings().limits().maxRetryAfter() <= 0) {
+                flat.put("Limits.MaxRetryAfter", "2000000");
+            }
+            flat.put("Limits.RetryAfter", "true"); // HTTP can always carry it, and a client in doubt is told
             settings = new SettingsReader(flat).settings();
             wallmoor.decision.SettingsCheck.check(settings);
         } catch (ConfigException e) {
--- a/src/main/java/wallmoor/core/Gatherer.java
+++ b/src/main/java/wallmoor/core/Gatherer.java
@@ -228,6 +228,7 @@
         a.ended = true;
         a.query.out.remove(a);
         due.removeIf(t -> t.attempt == a);
+        a.query.gaveUp |= outcome == Outcome.CANCELLED || outcome == Outcome.TIMED_OUT;
         boolean closed = a.query.end != null;
         if (outcome == Outcome.SERVED && !closed) {
             a.part.value = value;
@@ -261,6 +262,17 @@
         }
     }
 
+    /** Runs timers until the thread is interrupted. */
+    public void runTimers() {
+        try {
+            while (true) {
+                tick(1000);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void fire(Timer timer) {
         if (timer.attempt == null) {
             brain.onTimer(now, timer.token);
@@ -443,7 +455,7 @@
         public void refuse(String query, long comeBackAfter) {
             Query q = queries.get(query);
             if (q != null) {
-                finish(q, new Step.Refuse(comeBackAfter));
+                finish(q, new Step.Refuse(comeBackAfter, q.tried(), q.late()));
             }
         }
 
@@ -451,7 +463,7 @@
         public void fail(String query) {
             Query q = queries.get(query);
             if (q != null) {
-                finish(q, new Step.Fail(now >= q.deadline - 100_000));
+                finish(q, new Step.Fail(q.late()));
             }
         }
 
--- a/src/main/java/wallmoor/core/Query.java
+++ b/src/main/java/wallmoor/core/Query.java
@@ -33,6 +33,7 @@
     final Deque<Step> steps = new ArrayDeque<>();
     final Condition ready;
     Step.Final end;
+    boolean gaveUp;
 
     Query(String id, long deadline, Object carries, Condition ready) {
         this.id = id;
@@ -56,6 +57,16 @@
         return carries;
     }
 
+    /** Whether any part has been sent. */
+    boolean tried() {
+        return parts.stream().anyMatch(p -> p.attempts > 0);
+    }
+
+    /** Whether attempts had to be given up unanswered, or are still out at the end. */
+    boolean late() {
+        return gaveUp || !out.isEmpty();
+    }
+
     Part part(String partId) {
         for (Part p : parts) {
             if (p.id.equals(partId)) {
--- a/src/main/java/wallmoor/core/Step.java
+++ b/src/main/java/wallmoor/core/Step.java
@@ -21,11 +21,16 @@
     record Answer(boolean whole, List<Value> values) implements Final {
     }
 
-    /** Turned away: harmless to ask again after so many microseconds. */
-    record Refuse(long comeBackAfter) implements Final {
+    /**
+     * Turned away: harmless to ask again after so many microseconds.
+     *
+     * @param tried whether parts had been sent: the workers failed it, rather than that it was not begun
+     * @param late  whether workers had been waited for in vain
+     */
+    record Refuse(long comeBackAfter, boolean tried, boolean late) implements Final {
     }
 
-    /** Given up, with no promise about what has run; {@code late}: because its time is over. */
+    /** Given up, with no promise about what has run; {@code late}: workers had been waited for in vain. */
     record Fail(boolean late) implements Final {
     }
 
--- a/src/main/java/wallmoor/decision/Brain.java
+++ b/src/main/java/wallmoor/decision/Brain.java
@@ -398,7 +398,7 @@
 
     // ---- admission ----------------------------------------------------------------------------------------
 
-    /** Refuses at once what can't make its time, the least worth for its work first. */
+    /** Refuses at once what can't make its time, least worth for its work first, or is too much to hold. */
     private boolean admit(Query q) {
         List<Part> ranked = ranked(q.parts);
         int n = needed(q, ranked);
@@ -419,7 +419,7 @@
         if (time > allowed) {
             stretch.get(q.index).add(STRETCH_START); // a class that is turned away would never learn again
         }
-        return time <= allowed;
+        return time <= allowed && !open.full(settings);
     }
 
     /** The share of the present step's weight that makes it whole. */
--- a/src/main/java/wallmoor/decision/Open.java
+++ b/src/main/java/wallmoor/decision/Open.java
@@ -43,6 +43,12 @@
         return queries.isEmpty();
     }
 
+    /** Whether more queries and parts are held than the settings allow. */
+    boolean full(RouterApi.Settings settings) {
+        int held = queries.size() + queries.values().stream().mapToInt(q -> q.parts.size()).sum();
+        return held > settings.limits().maxOpen();
+    }
+
     /** The open query of this id, or null. */
     Query query(String id) {
         return queries.get(id);
--- a/src/main/java/wallmoor/decision/RouterApi.java
+++ b/src/main/java/wallmoor/decision/RouterApi.java
@@ -103,6 +103,12 @@
     public record Settings(int roots, int position, int zone, long round, boolean subscribe,
             List<QueryClass> classes, List<Tenant> tenants, double overShareWorth, boolean worthByWork,
             boolean clientsMarkRetry, Layout layout, Limits limits, Rules rules, Costs costs) {
+
+        /** The same for workers that hold shards in another layout. */
+        public Settings with(Layout other) {
+            return new Settings(roots, position, zone, round, subscribe, classes, tenants, overShareWorth,
+                    worthByWork, clientsMarkRetry, other, limits, rules, costs);
+        }
     }
 
     /** One leaf in a list. {@code upSince} is its last start, or ABSENT for long ago. */
--- a/src/main/java/wallmoor/json/Json.java
+++ b/src/main/java/wallmoor/json/Json.java
@@ -27,6 +27,7 @@
     /** An object and its place in the text. */
     public static final class Obj {
         private final Map<String, Object> members = new LinkedHashMap<>();
+        private final Map<String, int[]> places = new LinkedHashMap<>();
         private int start;
         private int end;
 
@@ -40,6 +41,11 @@
             return members;
         }
 
+        /** Where each member's value begins in the text, and where it ends. */
+        public Map<String, int[]> places() {
+            return places;
+        }
+
         /** Where its opening brace stands. */
         public int start() {
             return start;
@@ -144,7 +150,10 @@
                 }
                 String name = string();
                 expect(':');
+                peek();
+                int from = at;
                 object.members.put(name, value(depth + 1));
+                object.places.put(name, new int[] {from, at});
             } while (another('}'));
         }
         object.end = at;
--- /dev/null
+++ b/src/main/java/wallmoor/ogc/FeatureServers.java
@@ -0,0 +1,99 @@
+package wallmoor.ogc;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadPoolExecutor;
+import wallmoor.core.Attempt;
+import wallmoor.core.Gatherer;
+import wallmoor.core.Outcome;
+import wallmoor.core.Step;
+import wallmoor.core.Workers;
+import wallmoor.http.Threads;
+
+/** Runs attempts at feature servers, each on a thread of its own, and keeps a few connections for the next. */
+final class FeatureServers implements Workers {
+    private static final int MOST_KEPT = 4;
+
+    private final Gatherer gatherer;
+    private final int connectMillis;
+    private final ThreadPoolExecutor threads;
+    private final Map<Attempt, Fetch> out = new ConcurrentHashMap<>();
+    private final Map<String, Deque<Fetch.Kept>> kept = new HashMap<>();
+
+    FeatureServers(Gatherer gatherer, int connectMillis, int most) {
+        this.gatherer = gatherer;
+        this.connectMillis = connectMillis;
+        threads = Threads.pool("ogc-fetch", most);
+    }
+
+    @Override
+    public void send(Step.Send send) {
+        for (Attempt attempt : send.attempts()) {
+            var fetch = new Fetch(attempt, gatherer, connectMillis);
+            out.put(attempt, fetch);
+            try {
+                threads.execute(() -> run(fetch, attempt, send.fresh()));
+            } catch (RejectedExecutionException | OutOfMemoryError e) {
+                out.remove(attempt);
+                gatherer.report(attempt, Outcome.NEVER_SENT, null); // our own bound: no server is to blame
+            }
+        }
+    }
+
+    private void run(Fetch fetch, Attempt attempt, boolean fresh) {
+        try {
+            boolean anew = fresh || !((Upstream) attempt.query().carries()).repeat();
+            Fetch.Kept back = fetch.run(take(attempt.worker().address(), anew));
+            if (back != null) {
+                keep(back);
+            }
+        } finally {
+            out.remove(attempt);
+        }
+    }
+
+    @Override
+    public void cancel(Step.Cancel cancel) {
+        Fetch fetch = out.get(cancel.attempt());
+        if (fetch != null) {
+            fetch.cancel(cancel.as());
+        }
+    }
+
+    /** A connection that can be used, or null; {@code anew}: the idle ones are not trusted. */
+    private Fetch.Kept take(String address, boolean anew) {
+        while (!anew) {
+            Fetch.Kept last;
+            synchronized (kept) {
+                Deque<Fetch.Kept> here = kept.get(address);
+                last = here == null ? null : here.pollLast();
+            }
+            if (last == null) {
+                return null;
+            }
+            if (last.usable()) {
+                return last;
+            }
+            last.close();
+        }
+        return null;
+    }
+
+    private void keep(Fetch.Kept back) {
+        Fetch.Kept oldest = null;
+        synchronized (kept) {
+            Deque<Fetch.Kept> here = kept.computeIfAbsent(back.address(), a -> new ArrayDeque<>());
+            here.addLast(back);
+            if (here.size() > MOST_KEPT) {
+                oldest = here.pollFirst();
+            }
+        }
+        if (oldest != null) {
+            oldest.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wallmoor/ogc/Features.java
@@ -0,0 +1,365 @@
+package wallmoor.ogc;
+
+import java.io.IOException;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import wallmoor.config.ConfigException;
+import wallmoor.config.Launch;
+import wallmoor.config.OgcConfig;
+import wallmoor.config.OgcConfig.Collection;
+import wallmoor.core.Clock;
+import wallmoor.core.Gatherer;
+import wallmoor.core.Member;
+import wallmoor.core.Query;
+import wallmoor.core.Step;
+import wallmoor.decision.RouterApi.Effect;
+import wallmoor.decision.RouterApi.Settings;
+import wallmoor.http.HttpIn;
+import wallmoor.http.HttpProblem;
+import wallmoor.http.Message;
+import wallmoor.http.Server;
+import wallmoor.http.Threads;
+import wallmoor.json.Json;
+
+/**
+ * The second front: OGC API - Features Part 1 (Core) with GeoJSON. A page asked for is a query, a shard's share of it
+ * a part, a feature server a worker. A page that lacks a shard's share says so, and its next link asks for that share
+ * again: no page loses features silently.
+ */
+public final class Features {
+    private static final String JSON = "application/json";
+    private static final String GEOJSON = "application/geo+json";
+    /** Room kept in the longest body for what stands round the features. */
+    private static final int MOST_FEATURES_BYTES = HttpIn.MOST_BODY - 8 * 1024;
+    /** Time kept back from the client's deadline for the answer's way and a busy machine (microseconds). */
+    private static final long FOR_THE_WIRE = 10_000;
+    private static final long REREAD_MILLIS = 500;
+
+    private final OgcConfig config;
+    private final Settings settings;
+    private final Clock clock;
+    private final Consumer<String> log;
+    private final Gatherer gatherer;
+    private final FeatureServers servers;
+    private final Inventory inventory;
+    private final List<Member> known;
+    private final Server server;
+    private final AtomicLong numbers = new AtomicLong();
+
+    /** Makes the front and listens; nothing is answered before {@link #start}. */
+    public Features(OgcConfig config, Launch launch, Clock clock, Consumer<String> log) throws IOException {
+        this.config = config;
+        this.clock = clock;
+        this.log = log;
+        settings = launch.settings().with(config.layout());
+        gatherer = new Gatherer(settings, launch.seed(), clock, log);
+        servers = new FeatureServers(gatherer, launch.connectMillis(), launch.sockets() / 8);
+        inventory = new Inventory(config.inventory(), config.layout(), launch.zones());
+        known = inventory.changed(gatherer.now());
+        server = new Server("ogc", config.listen(), launch.sockets() / 16, launch.sockets() / 16, this::handle, log);
+    }
+
+    /** Begins to serve. */
+    public void start() {
+        gatherer.start(known);
+        gatherer.members(true, known);
+        Threads.start("ogc-timers", gatherer::runTimers);
+        Threads.start("ogc-inventory", this::reread);
+        server.start();
+    }
+
+    /** Asks clients to leave, takes what still comes, and answers all of it. */
+    public void leave(long handOverMillis, long finishMillis) throws IOException, InterruptedException {
+        server.leave();
+        Thread.sleep(handOverMillis);
+        server.finish(finishMillis);
+    }
+
+    private void reread() {
+        String told = "";
+        while (true) {
+            try {
+                Thread.sleep(REREAD_MILLIS);
+                List<Member> list = inventory.changed(gatherer.now());
+                if (list != null) {
+                    gatherer.members(true, list);
+                    log.accept("inventory: " + list.size() + " hosts");
+                    told = "";
+                }
+            } catch (ConfigException e) {
+                if (!told.equals(e.getMessage())) {
+                    told = e.getMessage();
+                    log.accept("inventory not taken, the last one stands: " + told);
+                }
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    // ---- resources ----------------------------------------------------------------------------------------
+
+    private void handle(Message request, Server.Exchange exchange)
+            throws IOException, HttpProblem, InterruptedException {
+        try {
+            route(request, exchange);
+        } catch (HttpProblem e) {
+            problem(exchange, e.status(), "", e.getMessage());
+        }
+    }
+
+    private void route(Message request, Server.Exchange exchange)
+            throws IOException, HttpProblem, InterruptedException {
+        String target = request.target();
+        String path = target.split("\\?", 2)[0];
+        if (!request.method().equals("GET") && !request.method().equals("HEAD")) {
+            problem(exchange, 405, "Allow: GET, HEAD\r\n", "method not allowed");
+            return;
+        }
+        String base = base(request);
+        String[] steps = path.split("/", -1);
+        if (path.equals("/")) {
+            Params.none(target);
+            answer(exchange, JSON, landing(base));
+        } else if (path.equals("/conformance")) {
+            Params.none(target);
+            answer(exchange, JSON, "{\"conformsTo\":["
+                    + "\"http://www.opengis.net/spec/ogcapi-features-1/1.0/conf/core\","
+                    + "\"http://www.opengis.net/spec/ogcapi-features-1/1.0/conf/geojson\"]}");
+        } else if (path.equals("/api")) {
+            Params.none(target);
+            answer(exchange, "application/vnd.oai.openapi+json;version=3.0", OpenApi.text(config, base));
+        } else if (path.equals("/collections")) {
+            Params.none(target);
+            var all = new ArrayList<String>();
+            config.collections().values().forEach(c -> all.add(collection(c, base)));
+            answer(exchange, JSON, "{" + new Links(base).add("self", JSON, "Collections", path).member()
+                    + ",\"collections\":[" + String.join(",", all) + "]}");
+        } else if (steps.length >= 3 && steps.length <= 5 && steps[1].equals("collections")
+                && config.collections().containsKey(steps[2])) {
+            Collection c = config.collections().get(steps[2]);
+            if (steps.length == 3) {
+                Params.none(target);
+                answer(exchange, JSON, collection(c, base));
+            } else if (steps.length == 4 && steps[3].equals("items")) {
+                items(exchange, request, c, base);
+            } else if (steps.length == 5 && steps[3].equals("items") && !steps[4].isEmpty()) {
+                Params.none(target);
+                feature(exchange, request, c, steps[4], base);
+            } else {
+                throw new HttpProblem(404, "no such resource");
+            }
+        } else {
+            throw new HttpProblem(404, "no such resource");
+        }
+    }
+
+    private String base(Message request) throws HttpProblem {
+        if (config.base() != null) {
+            return config.base();
+        }
+        String host = request.header("Host");
+        if (host == null || !host.matches("[A-Za-z0-9.:\\[\\]-]{1,255}")) {
+            throw new HttpProblem(400, "Host is absent or malformed");
+        }
+        return "http://" + host;
+    }
+
+    private String landing(String base) {
+        var to = new StringBuilder("{\"title\":");
+        Json.quote(to, config.title());
+        return to.append(",\"description\":\"Features gathered from feature servers\",")
+                .append(new Links(base).add("self", JSON, "This page", "/")
+                        .add("service-desc", "application/vnd.oai.openapi+json;version=3.0", "API definition", "/api")
+                        .add("conformance", JSON, "Conformance classes", "/conformance")
+                        .add("data", JSON, "Collections", "/collections").member())
+                .append('}').toString();
+    }
+
+    private static String collection(Collection c, String base) {
+        String at = "/collections/" + c.id();
+        var to = new StringBuilder("{\"id\":\"" + c.id() + "\",\"title\":");
+        Json.quote(to, c.title());
+        to.append(",\"description\":");
+        Json.quote(to, c.description());
+        return to.append(",\"itemType\":\"feature\",\"crs\":[\"http://www.opengis.net/def/crs/OGC/1.3/CRS84\"],")
+                .append(new Links(base).add("self", JSON, c.title(), at)
+                        .add("items", GEOJSON, c.title(), at + "/items").member())
+                .append('}').toString();
+    }
+
+    // ---- queries ------------------------------------------------------------------------------------------
+
+    private void items(Server.Exchange exchange, Message request, Collection c, String base)
+            throws IOException, HttpProblem, InterruptedException {
+        Params params = Params.of(request.target(), c.shards());
+        Map<Integer, Integer> from = params.cursor();
+        if (from == null) {
+            from = new LinkedHashMap<>();
+            for (Integer shard : c.shards()) {
+                from.put(shard, 0);
+            }
+        }
+        int wanted = Math.max(1, (params.limit() + from.size() - 1) / from.size());
+        Step.Final end = ask(exchange, request, c, List.copyOf(from.keySet()),
+                new Upstream("/collections/" + c.id() + "/items", params.query(), null, wanted, from, safe(c)));
+        if (end instanceof Step.Answer a) {
+            answer(exchange, GEOJSON, page(a, c, params, from, base, request.target()));
+        } else {
+            ended(exchange, end);
+        }
+    }
+
+    /** Merges the shares, shard by shard, up to the page's limit and size; the rest is for the next page. */
+    private byte[] page(Step.Answer answer, Collection c, Params params, Map<Integer, Integer> from, String base,
+            String target) {
+        Map<Integer, Upstream.Share> shares = new HashMap<>();
+        answer.values().forEach(v -> shares.put(v.shard(), Upstream.Share.decode(v)));
+        var features = new ByteArrayOutputStream();
+        var next = new LinkedHashMap<Integer, Integer>();
+        var missing = new ArrayList<Integer>();
+        int returned = 0;
+        for (Map.Entry<Integer, Integer> entry : from.entrySet()) {
+            Upstream.Share share = shares.get(entry.getKey());
+            if (share == null) {
+                missing.add(entry.getKey());
+                next.put(entry.getKey(), entry.getValue());
+                continue;
+            }
+            int taken = 0;
+            for (byte[] f : share.features()) {
+                if (returned == params.limit() || returned > 0 && features.size() + f.length > MOST_FEATURES_BYTES) {
+                    break;
+                }
+                if (returned++ > 0) {
+                    features.write(',');
+                }
+                features.writeBytes(f);
+                taken++;
+            }
+            if (share.more() || taken < share.features().size()) {
+                next.put(entry.getKey(), entry.getValue() + taken);
+            }
+        }
+        String items = "/collections/" + c.id() + "/items";
+        var links = new Links(base).add("self", GEOJSON, "This page", target)
+                .add("collection", JSON, c.title(), "/collections/" + c.id());
+        if (!next.isEmpty()) {
+            links.add("next", GEOJSON, "Next page", items + params.next(next));
+        }
+        var all = new ByteArrayOutputStream(features.size() + 1024);
+        all.writeBytes(bytes("{\"type\":\"FeatureCollection\",\"timeStamp\":\"" + timeStamp()
+                + "\",\"numberReturned\":" + returned + ",\"complete\":" + missing.isEmpty()
+                + (missing.isEmpty() ? "" : ",\"missingShards\":" + missing) + "," + links.member()
+                + ",\"features\":["));
+        all.writeBytes(features.toByteArray());
+        all.writeBytes(bytes("]}"));
+        return all.toByteArray();
+    }
+
+    /** One feature may be in any shard. Not found means that all shards said so; those not heard are asked again. */
+    private void feature(Server.Exchange exchange, Message request, Collection c, String id, String base)
+            throws IOException, HttpProblem, InterruptedException {
+        String plain = Params.decoded(id.replace("+", "%2B"));
+        String escaped = java.net.URLEncoder.encode(plain, StandardCharsets.UTF_8).replace("+", "%20");
+        List<Integer> left = new ArrayList<>(c.shards());
+        while (!left.isEmpty()) {
+            Step.Final end = ask(exchange, request, c, left,
+                    new Upstream("/collections/" + c.id() + "/items", "", escaped, 1, Map.of(), safe(c)));
+            if (!(end instanceof Step.Answer answer)) {
+                ended(exchange, end);
+                return;
+            }
+            for (Step.Value value : answer.values()) {
+                List<byte[]> found = Upstream.Share.decode(value).features();
+                if (!found.isEmpty()) {
+                    answer(exchange, GEOJSON, withLinks(found.get(0), new Links(base)
+                            .add("self", GEOJSON, "This feature", request.target())
+                            .add("collection", JSON, c.title(), "/collections/" + c.id())));
+                    return;
+                }
+                left.remove((Integer) value.shard());
+            }
+        }
+        throw new HttpProblem(404, "no such feature");
+    }
+
+    /** A feature as it came, but for the links, which are ours. */
+    private static byte[] withLinks(byte[] feature, Links links) {
+        var all = new ByteArrayOutputStream(feature.length + 512);
+        all.writeBytes(bytes("{" + links.member()));
+        try {
+            Json.object(feature, 0, feature.length).places().forEach((name, place) -> {
+                if (!name.equals("links")) {
+                    var key = new StringBuilder(",");
+                    Json.quote(key, name);
+                    all.writeBytes(bytes(key.append(':').toString()));
+                    all.write(feature, place[0], place[1] - place[0]);
+                }
+            });
+        } catch (Json.Malformed e) {
+            throw new IllegalStateException("a feature that was read before: " + e.getMessage());
+        }
+        all.write('}');
+        return all.toByteArray();
+    }
+
+    private boolean safe(Collection c) {
+        return settings.classes().get(c.queryClass()).effect() == Effect.SAFE;
+    }
+
+    private Step.Final ask(Server.Exchange exchange, Message request, Collection c, List<Integer> shards,
+            Upstream upstream) throws HttpProblem, InterruptedException {
+        long deadline = clock.at(request.begunAt()) + settings.classes().get(c.queryClass()).giveUp() - FOR_THE_WIRE;
+        var asks = new ArrayList<Query.Ask>();
+        shards.forEach(s -> asks.add(new Query.Ask(s, 1.0 / shards.size(), -1)));
+        Query query = gatherer.open("ogc-" + numbers.incrementAndGet(), c.queryClass(), deadline, false, asks,
+                upstream);
+        exchange.whenGone(() -> gatherer.gone(query));
+        return gatherer.run(query, servers);
+    }
+
+    /** What is not answered: turned away unseen is 503; begun and below the floor is the servers' failure. */
+    private static void ended(Server.Exchange exchange, Step.Final end) throws IOException {
+        if (end instanceof Step.Refuse r) {
+            String wait = String.format(Locale.ROOT, "Retry-After: %d\r\n", (r.comeBackAfter() + 999_999) / 1_000_000);
+            problem(exchange, !r.tried() ? 503 : r.late() ? 504 : 502, wait,
+                    r.tried() ? "too few feature servers answered" : "refused for now");
+        } else if (end instanceof Step.Fail f) {
+            problem(exchange, f.late() ? 504 : 502, "", "too few feature servers answered");
+        }
+    }
+
+    private static void problem(Server.Exchange exchange, int status, String headers, String what)
+            throws IOException {
+        var to = new StringBuilder("{\"code\":\"" + status + "\",\"description\":");
+        Json.quote(to, what);
+        exchange.answer(status, headers + "Content-Type: application/json\r\n", bytes(to.append('}').toString()));
+    }
+
+    private static void answer(Server.Exchange exchange, String type, String text) throws IOException {
+        answer(exchange, type, bytes(text));
+    }
+
+    private static void answer(Server.Exchange exchange, String type, byte[] body) throws IOException {
+        exchange.answer(200, "Content-Type: " + type + "\r\n", body);
+    }
+
+    private static String timeStamp() {
+        return Instant.now().truncatedTo(ChronoUnit.SECONDS).toString();
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/wallmoor/ogc/Fetch.java
@@ -0,0 +1,240 @@
+package wallmoor.ogc;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import wallmoor.config.Launch;
+import wallmoor.core.Attempt;
+import wallmoor.core.Gatherer;
+import wallmoor.core.Outcome;
+import wallmoor.http.HttpIn;
+import wallmoor.http.HttpOut;
+import wallmoor.http.HttpProblem;
+import wallmoor.http.Message;
+import wallmoor.http.Slice;
+import wallmoor.json.Json;
+
+/**
+ * One attempt at a feature server: all upstream pages of one part, one after another on one connection. The part
+ * counts only when all of them are in; a later page that fails may not pass for a part that never ran.
+ */
+final class Fetch {
+    /** Upstream pages of one part at most: a server whose pages never end fails the attempt. */
+    private static final int MOST_PAGES = 64;
+    /** Features asked for at once: a page must fit the longest body. */
+    private static final int MOST_ASKED = 50;
+    private static final long RETIRE_NANOS = 3_000_000_000L;
+
+    /** A connection between two attempts. */
+    record Kept(Socket socket, HttpIn in, String address, long since) {
+        /** Whether it is young enough and the server has not closed it meanwhile. */
+        boolean usable() {
+            try {
+                if (System.nanoTime() - since < RETIRE_NANOS) {
+                    in.await(1);
+                }
+                return false; // too old, at its end, or with bytes that nobody asked for
+            } catch (SocketTimeoutException e) {
+                return true;
+            } catch (IOException e) {
+                return false;
+            }
+        }
+
+        void close() {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                // it is closed as far as it can be
+            }
+        }
+    }
+
+    private final Attempt attempt;
+    private final Gatherer gatherer;
+    private final int connectMillis;
+    private Kept connection;
+    private Outcome calledOff;
+    private boolean ran;
+    private boolean ended;
+
+    Fetch(Attempt attempt, Gatherer gatherer, int connectMillis) {
+        this.attempt = attempt;
+        this.gatherer = gatherer;
+        this.connectMillis = connectMillis;
+    }
+
+    /** Calls it off: closing the connection is how a feature server is told. */
+    synchronized void cancel(Outcome as) {
+        calledOff = as;
+        if (connection != null) {
+            connection.close();
+        }
+    }
+
+    private synchronized boolean use(Kept c) {
+        connection = c;
+        return calledOff == null;
+    }
+
+    private synchronized Outcome calledOff(Outcome otherwise) {
+        return calledOff != null ? ran ? calledOff : Outcome.NEVER_SENT : otherwise;
+    }
+
+    /** Runs the attempt on this thread and reports it. Returns a connection that can be used again, or null. */
+    Kept run(Kept kept) {
+        Outcome outcome = Outcome.ERROR;
+        byte[] value = null;
+        boolean keep = false;
+        try {
+            Upstream asked = (Upstream) attempt.query().carries();
+            if (kept != null ? !use(kept) : !connect()) {
+                outcome = Outcome.NO_CONNECTION;
+            } else if (!attempt.worker().serving()) {
+                outcome = Outcome.NEVER_SENT; // told of a drain while connecting
+            } else {
+                value = pages(asked).encode();
+                outcome = Outcome.SERVED;
+                keep = !ended;
+            }
+        } catch (Refused e) {
+            outcome = Outcome.BUSY;
+        } catch (IOException e) {
+            outcome = ran ? Outcome.RESET : Outcome.NO_CONNECTION;
+        } catch (HttpProblem | Json.Malformed | RuntimeException | OutOfMemoryError e) {
+            outcome = Outcome.ERROR;
+        }
+        if (!keep && connection != null) {
+            connection.close();
+        }
+        // what came in whole counts, even if it crossed the call to give up
+        gatherer.report(attempt, value != null ? outcome : calledOff(outcome), value);
+        return keep ? new Kept(connection.socket, connection.in, connection.address, System.nanoTime()) : null;
+    }
+
+    /** Turned away before anything of the part ran. */
+    private static final class Refused extends Exception {
+        private static final long serialVersionUID = 1L;
+    }
+
+    private boolean connect() throws IOException {
+        InetSocketAddress address = Launch.address("address", attempt.worker().address());
+        var socket = new Socket();
+        if (!use(new Kept(socket, null, attempt.worker().address(), 0))) {
+            return false;
+        }
+        socket.setTcpNoDelay(true);
+        socket.connect(address, (int) Math.max(1, Math.min(connectMillis, millisLeft())));
+        return use(new Kept(socket, new HttpIn(socket, HttpIn.MOST_BODY), attempt.worker().address(), 0));
+    }
+
+    private long millisLeft() {
+        return (attempt.until() - gatherer.now()) / 1000;
+    }
+
+    private Upstream.Share pages(Upstream asked) throws IOException, HttpProblem, Json.Malformed, Refused {
+        if (asked.one() != null) {
+            Message answer = get(asked.path() + "/" + asked.one());
+            if (answer.status() == 404) {
+                return new Upstream.Share(false, List.of());
+            }
+            Slice body = answer.body();
+            Json.Obj feature = Json.object(body.buffer(), body.from(), body.length());
+            return new Upstream.Share(false, List.of(raw(feature, body)));
+        }
+        var features = new ArrayList<byte[]>();
+        int limit = Math.min(MOST_ASKED, asked.wanted());
+        String target = asked.path() + "?limit=" + limit + "&offset=" + asked.from().get(attempt.shard())
+                + asked.query();
+        for (int page = 0; page < MOST_PAGES; page++) {
+            Slice body = get(target).body();
+            Json.Obj json = Json.object(body.buffer(), body.from(), body.length());
+            if (!"FeatureCollection".equals(json.text("type")) || json.list("features") == null) {
+                throw new HttpProblem(502, "no FeatureCollection");
+            }
+            for (Object f : json.list("features")) {
+                if (!(f instanceof Json.Obj feature)) {
+                    throw new HttpProblem(502, "no Feature");
+                }
+                features.add(raw(feature, body));
+            }
+            String next = next(json);
+            if (next == null || features.size() >= asked.wanted()) {
+                boolean more = next != null || features.size() > asked.wanted();
+                return new Upstream.Share(more,
+                        features.subList(0, Math.min(features.size(), asked.wanted())));
+            }
+            target = onThisServer(next, target);
+        }
+        throw new HttpProblem(502, "pages without end");
+    }
+
+    private static byte[] raw(Json.Obj feature, Slice body) throws HttpProblem {
+        if (!"Feature".equals(feature.text("type")) || !feature.members().containsKey("geometry")) {
+            throw new HttpProblem(502, "no Feature");
+        }
+        return Arrays.copyOfRange(body.buffer(), feature.start(), feature.end());
+    }
+
+    /** Pages of a part belong to its attempt: a link to another machine is not followed. */
+    private String onThisServer(String next, String from) throws HttpProblem {
+        try {
+            URI uri = URI.create("http://" + attempt.worker().address() + from).resolve(next);
+            boolean here = attempt.worker().address().equals(uri.getRawAuthority());
+            if (!here || uri.getRawPath() == null || uri.getRawPath().isEmpty()) {
+                throw new HttpProblem(502, "next page on another server");
+            }
+            return uri.getRawPath() + (uri.getRawQuery() == null ? "" : "?" + uri.getRawQuery());
+        } catch (IllegalArgumentException e) {
+            throw new HttpProblem(502, "malformed link");
+        }
+    }
+
+    private static String next(Json.Obj json) {
+        List<?> links = json.list("links");
+        for (Object link : links == null ? List.of() : links) {
+            if (link instanceof Json.Obj l && "next".equals(l.text("rel"))) {
+                return l.text("href");
+            }
+        }
+        return null;
+    }
+
+    private Message get(String target) throws IOException, HttpProblem, Refused {
+        boolean first = !ran;
+        if (ended) { // this server closes after each page
+            connection.close();
+            ended = false;
+            if (!connect()) {
+                throw new IOException("called off");
+            }
+        }
+        var out = connection.socket.getOutputStream();
+        synchronized (this) {
+            if (calledOff != null) {
+                throw new IOException("called off");
+            }
+            ran = true; // from the first byte on it may have
+        }
+        HttpOut.get(out, attempt.worker().address(), target, "Accept: application/geo+json, application/json\r\n");
+        int left = (int) Math.max(1, millisLeft());
+        if (!connection.in.await(left)) {
+            throw new IOException("closed before an answer");
+        }
+        Message answer = connection.in.answer(left, true);
+        int status = answer.status();
+        if (first && (status == 429 || status == 503)) {
+            throw new Refused();
+        }
+        if (status != 200 && !(status == 404 && target.matches("[^?]*/items/[^/]+"))) {
+            throw new HttpProblem(502, "status " + status);
+        }
+        ended = !answer.keep();
+        return answer;
+    }
+}
--- a/src/main/java/wallmoor/platform/Platform.java
+++ b/src/main/java/wallmoor/platform/Platform.java
@@ -52,7 +52,7 @@
     /** Begins to serve: the list as last held at once, news of it as discovery has them. */
     public void start() {
         gatherer.start(known);
-        Threads.start("timers", this::tick);
+        Threads.start("timers", gatherer::runTimers);
         Threads.start("discovery", watch::run);
         server.start();
     }
@@ -64,22 +64,11 @@
 
     /** The rules on a planned restart: not ready, but queries are taken through the hand-over, and all answered. */
     public void leave(long handOverMillis, long finishMillis) throws IOException, InterruptedException {
-        ready = false;
         server.leave();
         Thread.sleep(handOverMillis);
         server.finish(finishMillis);
     }
 
-    private void tick() {
-        try {
-            while (true) {
-                gatherer.tick(1000);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private void handle(Message request, Server.Exchange exchange)
             throws IOException, HttpProblem, InterruptedException {
         String path = request.target().split("\\?", 2)[0];
