Test both fronts by starting the program and speaking to it as its peers would

JUnit 4 tests on loopback, with stand-in workers, discovery and feature servers, each on a free port and with bounded waits. They cover answers, slow and malformed requests, resends by class, calling off, deadlines, drains, a silent watch, idle connections, SIGTERM and bad configuration, and the features front's hard cases.

A whole list no longer makes staying workers look gone for a moment; a failure counts as late only where an attempt was called off or the deadline was near.

--- a/src/main/java/wallmoor/core/Gatherer.java
+++ b/src/main/java/wallmoor/core/Gatherer.java
@@ -32,6 +32,9 @@
     /** How long past its deadline a query is left to the module before it is failed here (microseconds). */
     private static final long OVERDUE = 5_000;
 
+    /** A query that ends this close to its deadline has run out of time (microseconds). */
+    private static final long NEAR_DEADLINE = 100_000;
+
     private record Timer(long at, String token, Attempt attempt) {
     }
 
@@ -228,7 +231,7 @@
         a.ended = true;
         a.query.out.remove(a);
         due.removeIf(t -> t.attempt == a);
-        a.query.gaveUp |= outcome == Outcome.CANCELLED || outcome == Outcome.TIMED_OUT;
+        a.query.gaveUp |= a.calledOff && a.query.end == null;
         boolean closed = a.query.end != null;
         if (outcome == Outcome.SERVED && !closed) {
             a.part.value = value;
@@ -338,8 +341,10 @@
     }
 
     private void list(ListKind kind, List<Member> members) {
-        if (kind != ListKind.CHANGES) {
-            workers.values().forEach(Worker::leave);
+        if (kind != ListKind.CHANGES) { // one that stays must not seem gone even for a moment: writers look on
+            var named = new HashSet<String>();
+            members.forEach(m -> named.add(m.id()));
+            workers.values().stream().filter(w -> !named.contains(w.id())).forEach(Worker::leave);
         }
         var entries = new ArrayList<LeafEntry>();
         for (Member m : members) {
@@ -392,6 +397,11 @@
         }
     }
 
+    /** Whether waiting in vain, rather than answers that failed, brought a query to its end. */
+    private boolean late(Query q) {
+        return q.gaveUp || now >= q.deadline - NEAR_DEADLINE;
+    }
+
     private void forget(Query query) {
         query.parts.forEach(p -> byPart.remove(p.id));
     }
@@ -455,7 +465,7 @@
         public void refuse(String query, long comeBackAfter) {
             Query q = queries.get(query);
             if (q != null) {
-                finish(q, new Step.Refuse(comeBackAfter, q.tried(), q.late()));
+                finish(q, new Step.Refuse(comeBackAfter, q.tried(), late(q)));
             }
         }
 
@@ -463,7 +473,7 @@
         public void fail(String query) {
             Query q = queries.get(query);
             if (q != null) {
-                finish(q, new Step.Fail(q.late()));
+                finish(q, new Step.Fail(late(q)));
             }
         }
 
--- a/src/main/java/wallmoor/core/Query.java
+++ b/src/main/java/wallmoor/core/Query.java
@@ -33,6 +33,7 @@
     final Deque<Step> steps = new ArrayDeque<>();
     final Condition ready;
     Step.Final end;
+    /** Whether an attempt was called off unanswered before the end. */
     boolean gaveUp;
 
     Query(String id, long deadline, Object carries, Condition ready) {
@@ -62,11 +63,6 @@
         return parts.stream().anyMatch(p -> p.attempts > 0);
     }
 
-    /** Whether attempts had to be given up unanswered, or are still out at the end. */
-    boolean late() {
-        return gaveUp || !out.isEmpty();
-    }
-
     Part part(String partId) {
         for (Part p : parts) {
             if (p.id.equals(partId)) {
--- /dev/null
+++ b/src/test/java/wallmoor/net/FeaturesTest.java
@@ -0,0 +1,295 @@
+package wallmoor.net;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.After;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+
+/** The second front of the real program, with stand-in feature servers: cell 0 holds shards 0 and 2, cell 1 the others. */
+public class FeaturesTest {
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private Program program;
+    private Path inventory;
+    private int port;
+
+    private StandIn.FeatureServer server(Function<String, String> answer) throws IOException {
+        var server = new StandIn.FeatureServer(answer);
+        open.add(server);
+        return server;
+    }
+
+    /** Serves {@code total} features, two a page however many are asked for. */
+    private static Function<String, String> pages(String name, int total) {
+        return target -> {
+            Matcher one = Pattern.compile("/collections/(\\w+)/items/([^?]+)").matcher(target);
+            if (one.matches()) {
+                String id = one.group(2);
+                return id.startsWith(name + "-") ? feature(id) : "404";
+            }
+            int limit = Math.min(2, number(target, "limit"));
+            int offset = number(target, "offset");
+            var features = new ArrayList<String>();
+            for (int i = offset; i < Math.min(total, offset + limit); i++) {
+                features.add(feature(name + "-" + i));
+            }
+            String next = offset + limit >= total ? "" : "{\"rel\":\"next\",\"href\":\""
+                    + target.replaceAll("offset=\\d+", "offset=" + (offset + limit)) + "\"}";
+            return "{\"type\":\"FeatureCollection\",\"links\":[" + next + "],\"features\":["
+                    + String.join(",", features) + "]}";
+        };
+    }
+
+    private static String feature(String id) {
+        return "{\"type\":\"Feature\",\"id\":\"" + id + "\",\"geometry\":{\"type\":\"Point\",\"coordinates\":"
+                + "[67.0300,24.81]},\"properties\":{\"free\":3}}";
+    }
+
+    private static int number(String target, String name) {
+        Matcher m = Pattern.compile(name + "=(\\d+)").matcher(target);
+        return m.find() ? Integer.parseInt(m.group(1)) : 0;
+    }
+
+    private void start(String yaml) throws Exception {
+        start("inventory.yaml", yaml);
+    }
+
+    private void start(String file, String hosts) throws Exception {
+        inventory = folder.newFile(file).toPath();
+        Files.writeString(inventory, hosts);
+        port = Program.freePort();
+        Path config = folder.newFile("ogc.yaml").toPath();
+        Files.writeString(config, "enabled: true\nlisten: 127.0.0.1:" + port + "\ninventory: " + file
+                + "\ncollections:\n"
+                + "  branches: {title: Branches, class: all, shards: [0, 1]}\n"
+                + "  quotes: {title: Quotes, class: any, shards: [0, 1]}\n"
+                + "  holds: {title: Holds, class: once, shards: [0]}\n");
+        var discovery = new StandIn.Discovery();
+        open.add(discovery);
+        program = new Program(discovery.port(), "", config);
+        open.add(program);
+    }
+
+    private static String group(Object... hosts) {
+        var yaml = new StringBuilder("feature_servers:\n  vars: {zone: east, ansible_host: 127.0.0.1}\n  hosts:\n");
+        for (int i = 0; i < hosts.length; i += 2) {
+            yaml.append("    fs").append(i / 2).append(": {port: ").append(((StandIn) hosts[i]).port()).append(", ")
+                    .append(hosts[i + 1]).append("}\n");
+        }
+        return yaml.toString();
+    }
+
+    private Client.Answer get(String target) throws IOException {
+        return Client.get(port, target);
+    }
+
+    private static List<String> ids(String body) {
+        var ids = new ArrayList<String>();
+        Matcher m = Pattern.compile("\"id\":\"(\\w+-\\d+)\"").matcher(body);
+        while (m.find()) {
+            ids.add(m.group(1));
+        }
+        return ids;
+    }
+
+    private static String next(String body) {
+        Matcher m = Pattern.compile("\"href\":\"http://localhost([^\"]*)\",\"rel\":\"next\"").matcher(body);
+        return m.find() ? m.group(1) : null;
+    }
+
+    @After
+    public void stop() throws Exception {
+        for (AutoCloseable o : open) {
+            o.close();
+        }
+    }
+
+    @Test
+    public void theStandardsResourcesAreThereAndPagesHoldEachFeatureOnce() throws Exception {
+        var a = server(pages("a", 7));
+        var b = server(pages("b", 3));
+        start(group(a, "cell: 0", b, "cell: 1"));
+        assertTrue(get("/").body.contains("\"rel\":\"service-desc\""));
+        assertTrue(get("/conformance").body.contains("ogcapi-features-1/1.0/conf/core"));
+        assertTrue(get("/api").body.contains("/collections/branches/items/{featureId}"));
+        assertTrue(get("/collections").body.contains("\"id\":\"holds\""));
+        assertTrue(get("/collections/branches").body.contains("\"itemType\":\"feature\""));
+        var seen = new ArrayList<String>();
+        String target = "/collections/branches/items?limit=4&bbox=66,24,68,25&datetime=2026-01-01T00:00:00Z/..";
+        while (target != null) {
+            var page = get(target);
+            assertEquals(page.body, 200, page.status);
+            assertEquals("application/geo+json", page.header("Content-Type"));
+            assertTrue(page.body, page.body.contains("\"numberReturned\":" + ids(page.body).size() + ","));
+            assertTrue(page.body, page.body.contains("\"timeStamp\":\"20") && page.body.contains("\"complete\":true"));
+            assertTrue("coordinates as they came", page.body.contains("[67.0300,24.81]"));
+            assertTrue(ids(page.body).size() <= 4);
+            seen.addAll(ids(page.body));
+            target = next(page.body);
+        }
+        assertEquals(10, seen.size());
+        assertEquals(10, seen.stream().distinct().count());
+        assertTrue(a.seen.get(1), a.seen.get(1).contains("&bbox=66%2C24%2C68%2C25&datetime=2026-01-01T00%3A00%3A00Z"));
+        var one = get("/collections/branches/items/b-1");
+        assertEquals(200, one.status);
+        assertTrue(one.body, one.body.contains("\"id\":\"b-1\"") && one.body.contains("\"rel\":\"collection\""));
+        assertEquals(404, get("/collections/branches/items/c-1").status);
+        assertEquals("not found only when all shards said so", 404, get("/collections/quotes/items/c-1").status);
+        assertEquals(200, get("/collections/quotes/items/b-1").status);
+    }
+
+    @Test
+    public void unknownAndInvalidParametersAreTheClientsFault() throws Exception {
+        start(group(server(pages("a", 1)), "cell: 0"));
+        for (String bad : new String[] {"limit=0", "limit=x", "bbox=1,2,3", "bbox=1,9,3,4", "datetime=soon",
+            "datetime=2026-02-01T00:00:00Z/2026-01-01T00:00:00Z", "colour=red", "limit=1&limit=2", "cursor=9.1",
+            "bbox=%zz"}) {
+            assertEquals(bad, 400, get("/collections/holds/items?" + bad).status);
+        }
+        assertEquals(400, get("/collections?limit=3").status);
+        assertEquals(404, get("/collections/none/items").status);
+        try (var client = new Client(port)) {
+            assertEquals(405, client.send("DELETE /collections HTTP/1.1\r\nHost: h\r\n\r\n").answer().status);
+        }
+        assertEquals(200, get("/collections/holds/items?limit=99999").status);
+    }
+
+    @Test
+    public void aPageWhosePartFailsIsWholeOrSaysThatItIsNot() throws Exception {
+        var broken = new AtomicBoolean(true);
+        Function<String, String> good = pages("a", 5);
+        // fails where its second page is asked for: by then the part may have run
+        var bad = server(t -> broken.get() && number(t, "offset") == 2 ? "503" : good.apply(t));
+        start(group(bad, "cell: 0", server(pages("b", 1)), "cell: 1"));
+        assertEquals("below the floor", 502, get("/collections/branches/items").status);
+        long before = bad.count("/collections/holds/items?limit=10&offset=2");
+        assertEquals("the class may not repeat", 502, get("/collections/holds/items").status);
+        assertEquals(before + 1, bad.count("/collections/holds/items?limit=10&offset=2"));
+        // any half of the parts will do: the page says what it lacks, and the next link brings it
+        Program.await("a page without shard 0", () -> {
+            try {
+                var page = get("/collections/quotes/items");
+                return page.status == 200 && page.body.contains("\"complete\":false,\"missingShards\":[0]")
+                        && next(page.body).contains("cursor=0.0");
+            } catch (IOException e) {
+                return false;
+            }
+        });
+        broken.set(false);
+        Program.await("the rest", () -> {
+            try {
+                return ids(get("/collections/quotes/items?limit=9&cursor=0.0").body).size() == 5;
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    @Test
+    public void aFailedPartGoesToAnotherHolderWithAllItsPages() throws Exception {
+        var failed = new AtomicBoolean();
+        Function<String, String> good = pages("a", 4);
+        Function<String, String> firstFails = t ->
+                number(t, "offset") == 2 && failed.compareAndSet(false, true) ? "{\"type\":\"Feat" : good.apply(t);
+        var one = server(firstFails);
+        var other = server(firstFails);
+        start(group(one, "cell: 0", other, "cell: 0", server(pages("b", 0)), "cell: 1"));
+        assertEquals(List.of("a-0", "a-1", "a-2", "a-3"), ids(get("/collections/branches/items").body));
+        assertEquals("each had the first page", 2, one.count("/") / 2 + other.count("/") / 2);
+        assertTrue(one.count("/") > 0 && other.count("/") > 0);
+    }
+
+    @Test
+    public void aServerThatNeverRepliesCostsNoAnswer() throws Exception {
+        var stuck = new AtomicBoolean();
+        Function<String, String> good = pages("a", 2);
+        Function<String, String> firstHangs = t -> stuck.compareAndSet(false, true) ? null : good.apply(t);
+        var one = server(firstHangs);
+        var other = server(firstHangs);
+        start(group(one, "cell: 0", other, "cell: 0", server(pages("b", 0)), "cell: 1"));
+        var page = get("/collections/branches/items");
+        assertEquals(page.body, 200, page.status);
+        assertEquals(List.of("a-0", "a-1"), ids(page.body));
+        assertEquals(1, one.count("/"));
+        assertEquals(1, other.count("/"));
+        Program.await("the first is let go", () -> one.count("closed") + other.count("closed") > 0);
+    }
+
+    @Test
+    public void theDeadlineIsMetWhereNobodyReplies() throws Exception {
+        var stuck = server(t -> null);
+        start(group(stuck, "cell: 0"));
+        long sent = System.nanoTime();
+        assertEquals(504, get("/collections/holds/items").status);
+        assertTrue(System.nanoTime() - sent < TimeUnit.MILLISECONDS.toNanos(2070));
+        assertEquals("may not repeat", 1, stuck.count("/"));
+        Program.await("it is let go", () -> stuck.count("closed") == 1);
+        var refused = get("/collections/branches/items"); // nobody holds shard 1: not even begun in vain
+        assertTrue("" + refused.status, refused.status == 503 || refused.status == 502 || refused.status == 504);
+        assertTrue(refused.header("Retry-After"), Integer.parseInt(refused.header("Retry-After")) > 0);
+    }
+
+    @Test
+    public void aClientThatLeavesLetsTheServersGo() throws Exception {
+        var stuck = server(t -> null);
+        start(group(stuck, "cell: 0"));
+        try (var client = new Client(port)) {
+            client.send("GET /collections/holds/items HTTP/1.1\r\nHost: h\r\n\r\n");
+            Program.await("the part", () -> stuck.count("/") == 1);
+        }
+        long left = System.nanoTime();
+        Program.await("it is let go", () -> stuck.count("closed") == 1);
+        assertTrue("before the deadline", System.nanoTime() - left < TimeUnit.MILLISECONDS.toNanos(1500));
+    }
+
+    @Test
+    public void aDrainInTheInventoryHoldsAndABadRowIsNamed() throws Exception {
+        var one = server(pages("a", 1));
+        var other = server(pages("a", 1));
+        String header = "host,address,zone,cell,state\n";
+        String rows = "fs1,127.0.0.1:" + one.port() + ",east,0,serving\nfs2,127.0.0.1:" + other.port()
+                + ",west,0,serving\n";
+        start("hosts.csv", header + rows);
+        assertEquals(200, get("/collections/holds/items").status);
+        Files.writeString(inventory, header + rows + "fs3,127.0.0.1:1,east,zero,serving\n");
+        Program.await("the row's name", () -> List.copyOf(program.log).stream()
+                .anyMatch(l -> l.contains("hosts.csv") && l.contains("fs3") && l.contains("cell")));
+        assertEquals("the last good list stands", 200, get("/collections/holds/items").status);
+        Files.writeString(inventory, header + rows.replaceFirst("serving", "draining"));
+        Thread.sleep(2000);
+        long before = one.count("/");
+        for (int i = 0; i < 10; i++) {
+            assertEquals(200, get("/collections/holds/items").status);
+        }
+        assertEquals(before, one.count("/"));
+        assertFalse(other.seen.isEmpty());
+    }
+
+    @Test
+    public void aBadFileOfTheFrontNamesItsKey() throws Exception {
+        Path config = folder.newFile("bad.yaml").toPath();
+        Files.writeString(config, "enabled: true\nlisten: 127.0.0.1:1\ninventory: none.yaml\n"
+                + "collections: {x: {class: nobody, shards: [0]}}\n");
+        Process process = Program.launch("{\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:1\",\"settings\":"
+                + Program.SETTINGS + "}", config);
+        assertTrue(process.waitFor(15, TimeUnit.SECONDS));
+        String said = new String(process.getErrorStream().readAllBytes());
+        assertEquals(said, 2, process.exitValue());
+        assertTrue(said, said.contains("collections.x.class"));
+    }
+}
--- /dev/null
+++ b/src/test/java/wallmoor/net/PlatformTest.java
@@ -0,0 +1,250 @@
+package wallmoor.net;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import org.junit.After;
+import org.junit.Test;
+
+/** The real program as a process, spoken to as clients, workers and discovery would. */
+public class PlatformTest {
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private Program program;
+    private StandIn.Discovery discovery;
+
+    private StandIn.Worker worker(Function<String, String> answer) throws IOException {
+        var worker = new StandIn.Worker(answer);
+        open.add(worker);
+        return worker;
+    }
+
+    /** Shards 0 and 2 are in cell 0, shards 1 and 3 in cell 1. */
+    private void start(String... members) throws Exception {
+        discovery = new StandIn.Discovery();
+        open.add(discovery);
+        program = new Program(discovery.port(), String.join(",", members), null);
+        open.add(program);
+    }
+
+    @After
+    public void stop() throws Exception {
+        for (AutoCloseable o : open) {
+            o.close();
+        }
+    }
+
+    @Test
+    public void aQueryIsSplitAndAnswered() throws Exception {
+        var even = worker(id -> "ok");
+        var odd = worker(id -> "ok");
+        start(even.member("a", 0, "SERVING"), odd.member("b", 1, "SERVING"));
+        try (var client = new Client(program.port)) {
+            // links are poor: a request in pieces is ordinary
+            String query = Client.query("q1", "all", 1900, 0, 1);
+            for (int i = 0; i < query.length(); i += 40) {
+                client.send(query.substring(i, Math.min(query.length(), i + 40)));
+                Thread.sleep(5);
+            }
+            var answer = client.answer();
+            assertEquals(200, answer.status);
+            assertEquals("{\"complete\":true,\"hits\":[{\"shard\":0,\"doc\":\"vq1.0\"},{\"shard\":1,\"doc\":\"vq1.1\"}]}",
+                    answer.body);
+            String body = Client.body(3);
+            client.send("POST /api HTTP/1.1\r\nX-Request-Id: q2\r\nX-Class: once\r\nX-Deadline: 1900000u\r\n"
+                    + "Transfer-Encoding: chunked\r\n\r\n5\r\n" + body.substring(0, 5) + "\r\n"
+                    + Integer.toHexString(body.length() - 5) + "\r\n" + body.substring(5) + "\r\n0\r\n\r\n");
+            assertEquals("{\"complete\":true,\"hits\":[{\"shard\":3,\"doc\":\"vq2.3\"}]}", client.answer().body);
+        }
+        assertTrue(even.seen.get(1).matches("(?s)Qq1\\.0 0 d=\\d+ 8\nc41e77d0"));
+        assertEquals("one connection carries all", 1, odd.count("open"));
+    }
+
+    @Test
+    public void badInputIsNamedAndEndsNothingElse() throws Exception {
+        start(worker(id -> "ok").member("a", 0, "SERVING"));
+        String[] bad = {"nonsense\r\n\r\n", "POST /api HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+            "POST /api HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", "POST /api HTTP/1.1\r\nno colon\r\n\r\n",
+            "POST /api HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "GET /api HTTP/1.1\r\n\r\n", "GET /other HTTP/1.1\r\n\r\n", Client.query("x", "nobody", 500, 0),
+            Client.query("x", "all", 500, 0).replace("\"q\"", "?q\""), Client.query("x", "all", 500, 77),
+            "GET / HTTP/1.1\r\nLong: " + "x".repeat(20_000) + "\r\n\r\n",
+            "POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nFFFFF\r\n"};
+        int[] status = {400, 400, 413, 400, 400, 405, 404, 400, 400, 400, 431, 413};
+        for (int i = 0; i < bad.length; i++) {
+            try (var client = new Client(program.port)) {
+                assertEquals(bad[i], status[i], client.send(bad[i]).answer().status);
+            }
+        }
+        assertEquals(200, Client.post(program.port, "q", "all", 1900, 0).status);
+    }
+
+    @Test
+    public void aFailedPartIsResentOnlyWhereItsClassAllows() throws Exception {
+        var fails = new AtomicInteger();
+        Function<String, String> first = id -> id.startsWith("busy") && fails.incrementAndGet() == 1 ? "busy"
+                : id.startsWith("err") && fails.incrementAndGet() == 1 ? "err"
+                : id.startsWith("break") && fails.incrementAndGet() == 1 ? "break"
+                : id.startsWith("garbage") && fails.incrementAndGet() == 1 ? "garbage" : "ok";
+        var one = worker(first);
+        var other = worker(first);
+        start(one.member("a", 0, "SERVING"), other.member("b", 0, "SERVING"));
+        // an error may have run; a broken connection and a bad frame end the part too
+        for (String end : new String[] {"err", "break", "garbage"}) {
+            Program.await("both in reach again", () -> served());
+            fails.set(0);
+            assertEquals(end, 200, Client.post(program.port, end + "1", "all", 1900, 0).status);
+            Program.await("both in reach again", () -> served());
+            fails.set(0);
+            assertEquals(end, 502, Client.post(program.port, end + "2", "once", 1900, 0).status);
+            assertEquals("sent once", 1, one.count("Q" + end + "2") + other.count("Q" + end + "2"));
+        }
+        Program.await("both in reach again", () -> served());
+        fails.set(0); // turned away: it never ran, and may go elsewhere whatever its class
+        assertEquals(200, Client.post(program.port, "busy1", "once", 1900, 0).status);
+    }
+
+    @Test
+    public void aSilentWorkersPartIsCalledOffBeforeItGoesElsewhere() throws Exception {
+        List<String> order = java.util.Collections.synchronizedList(new ArrayList<>());
+        var silent = new AtomicInteger();
+        Function<String, String> answer = id -> {
+            order.add(id);
+            return silent.getAndIncrement() == 0 ? null : "ok";
+        };
+        var one = worker(answer);
+        var other = worker(answer);
+        start(one.member("a", 0, "SERVING"), other.member("b", 0, "SERVING"));
+        assertEquals(200, Client.post(program.port, "s", "all", 1900, 0).status);
+        assertEquals(List.of("s.0", "s.0"), order);
+        // a second copy must never be out: the end of the first was written before the second
+        Program.await("the end of the first", () -> one.count("Xs.0") + other.count("Xs.0") == 1);
+    }
+
+    @Test
+    public void anAnswerComesBeforeTheDeadlineAndCallsAllOff() throws Exception {
+        var silent = worker(id -> null);
+        start(silent.member("a", 0, "SERVING"));
+        long sent = System.nanoTime();
+        int status = Client.post(program.port, "d", "once", 700, 0).status;
+        long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sent);
+        assertEquals(504, status);
+        assertTrue("answered after " + took + " ms", took < 770); // the rules' grace and slack
+        Program.await("the end of the part", () -> silent.count("Xd.0") == 1);
+    }
+
+    @Test
+    public void aClientThatLeavesHasItsPartsCalledOff() throws Exception {
+        var silent = worker(id -> null);
+        start(silent.member("a", 0, "SERVING"));
+        try (var client = new Client(program.port)) {
+            client.send(Client.query("g", "once", 1900, 0));
+            Program.await("the part", () -> silent.count("Qg.0") == 1);
+        }
+        Program.await("its end", () -> silent.count("Xg.0") == 1);
+    }
+
+    @Test
+    public void whatCannotBeServedIsRefusedAtOnceWithATimeToComeBack() throws Exception {
+        start(worker(id -> "ok").member("a", 0, "SERVING"));
+        long sent = System.nanoTime();
+        var answer = Client.post(program.port, "r", "all", 1900, 1);
+        assertEquals(503, answer.status);
+        assertTrue(Double.parseDouble(answer.header("Retry-After")) > 0);
+        assertTrue(System.nanoTime() - sent < TimeUnit.MILLISECONDS.toNanos(900));
+    }
+
+    @Test
+    public void aDrainStopsSendsAndADeadWatchIsResumed() throws Exception {
+        var one = worker(id -> "ok");
+        var other = worker(id -> "ok");
+        start(one.member("a", 0, "SERVING"), other.member("b", 0, "SERVING"));
+        Program.await("a watch", () -> discovery.count("GET /api/targets?stream=1&index=41") == 1);
+        Thread.sleep(100); // the watch is in the stand-in's hands a little after its request line is
+        discovery.say("{\"revision\":43,\"complete\":false,\"members\":[" + one.member("a", 0, "DRAINING") + "]}");
+        Thread.sleep(1500);
+        long before = one.count("Q");
+        for (int i = 0; i < 20; i++) {
+            assertEquals(200, Client.post(program.port, "q" + i, "all", 1900, 0).status);
+        }
+        assertEquals(before, one.count("Q"));
+        // a machine cut off says nothing: without lines the watch is dead, and goes on from the last revision
+        discovery.silent = true;
+        Program.await("a new watch", () -> discovery.count("GET /api/targets?stream=1&index=43") > 0);
+    }
+
+    @Test
+    public void anIdleConnectionIsRetiredBeforeTheWorkerClosesIt() throws Exception {
+        var one = worker(id -> "ok");
+        start(one.member("a", 0, "SERVING"));
+        assertEquals(200, Client.post(program.port, "i1", "all", 1900, 0).status);
+        Program.await("its end", () -> one.count("closed") == 1);
+        assertEquals(200, Client.post(program.port, "i2", "once", 1900, 0).status);
+        assertEquals(2, one.count("open"));
+    }
+
+    @Test
+    public void whatIsTakenBeforeTheEndIsAnswered() throws Exception {
+        var slow = worker(id -> {
+            sleep(500);
+            return "ok";
+        });
+        start(slow.member("a", 0, "SERVING"));
+        try (var early = new Client(program.port); var kept = new Client(program.port)) {
+            assertEquals(200, kept.send("GET /-/ready HTTP/1.1\r\n\r\n").answer().status);
+            early.send(Client.query("e", "all", 1900, 0));
+            Program.await("the part", () -> slow.count("Qe.0") == 1);
+            program.process.toHandle().destroy(); // and not its streams, as Process.destroy would
+            Program.await("the signal", () -> program.log.stream().anyMatch(l -> l.contains("told to leave")));
+            assertEquals(503, Client.get(program.port, "/-/ready").status);
+            var late = kept.send(Client.query("l", "all", 1900, 0)).answer();
+            assertEquals(200, late.status);
+            assertEquals("asked to leave", "close", late.header("Connection"));
+            assertEquals(200, early.answer().status);
+        }
+        assertTrue(program.process.waitFor(10, TimeUnit.SECONDS));
+    }
+
+    @Test
+    public void aBadConfigurationNamesItsKey() throws Exception {
+        String good = "{\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:1\",\"settings\":" + Program.SETTINGS + "}";
+        String[][] bad = {{good.replace("\"Round\":5000", "\"Round\":\"soon\""), "Round"},
+            {good.replace("\"Slabs\":4,", ""), "Domain.Slabs"}, {good.replace("\"listen\":\"127.0.0.1:1\",", ""), "listen"},
+            {good.replace("\"Name\":\"any\",", ""), "Classes.0.Name"}, {"{", "ROUTER_CONFIG"}};
+        for (String[] b : bad) {
+            Process process = Program.launch(b[0], null);
+            assertTrue(process.waitFor(15, TimeUnit.SECONDS));
+            List<String> said = new String(process.getErrorStream().readAllBytes()).lines().toList();
+            assertEquals(said.toString(), 2, process.exitValue());
+            assertEquals(said.toString(), 1, said.size());
+            assertTrue(said.get(0), said.get(0).contains(b[1]));
+        }
+    }
+
+    /** Whether each of many queries is served: a worker that failed is left alone for a while. */
+    private boolean served() {
+        for (int i = 0; i < 8; i++) {
+            try {
+                if (Client.post(program.port, "w" + System.nanoTime(), "all", 1900, 0).status != 200) {
+                    return false;
+                }
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        }
+        return true;
+    }
+
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/wallmoor/net/Program.java
@@ -0,0 +1,95 @@
+package wallmoor.net;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** The real program as a process, with a configuration of the test's. */
+final class Program implements java.io.Closeable {
+    static final String SETTINGS = """
+            {"Instances":1,"Position":0,"Az":0,"Dcs":["east","west"],"Kinds":["k"],"Round":5000,"Discovery":"subscribe",
+             "Classes":[
+              {"Name":"any","Aim":1000000,"GiveUp":2000000,"LateWorth":0.1,"Repeat":"free","Worth":1.0},
+              {"Name":"all","Aim":1000000,"GiveUp":2000000,"LateWorth":0.1,"Repeat":"free","Worth":1.0},
+              {"Name":"once","Aim":1000000,"GiveUp":2000000,"LateWorth":0.3,"Repeat":"single_shot","Worth":1.0}],
+             "Domain":{"Slabs":4,"Sets":2,"Reach":1,"BundleMax":1,"NeedByClass":[0.5,1.0,1.0],
+              "FloorByClass":[0.5,1.0,1.0],"PartialEarns":[0.9,0.9,0.9],"FollowUp":[0,0,0]},
+             "Limits":{"MaxAttempts":4,"MaxOpen":60,"Cancelling":true,"ParallelTries":false,"ConnectTimeout":250000,
+              "StreamsPerConn":100,"ConnIdle":3000000,"MaxRetryAfter":2000000,"RetryAfter":false},
+             "Contract":{"DrainGrace":2000000,"ColdShare":0.16,"Cold":18000000,"FallMultiple":2.0,
+              "OverloadFor":2000000,"GraceToAnswer":20000,"AskWithin":10000000},
+             "Costs":{"CrossZone":0.026,"Waste":0.077}}""";
+
+    final List<String> log = Collections.synchronizedList(new ArrayList<>());
+    final int port;
+    final Process process;
+
+    /** Starts it with these members known; {@code ogc} is the second front's file, or null. */
+    Program(int discovery, String members, Path ogc) throws Exception {
+        port = freePort();
+        String config = "{\"name\":\"t\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discovery
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"known\":{\"revision\":41,"
+                + "\"complete\":true,\"members\":[" + members + "]},\"settings\":" + SETTINGS + "}";
+        process = launch(config, ogc);
+        var reader = new Thread(() -> {
+            try (var lines = new BufferedReader(new InputStreamReader(process.getErrorStream()))) {
+                lines.lines().forEach(log::add);
+            } catch (IOException | RuntimeException e) {
+                log.add("log ended: " + e);
+            }
+        });
+        reader.setDaemon(true);
+        reader.start();
+        await("ready", () -> {
+            try {
+                return Client.get(port, "/-/ready").status == 200;
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    static Process launch(String config, Path ogc) throws IOException {
+        Path file = Files.createTempFile("wallmoor", ".json");
+        file.toFile().deleteOnExit();
+        Files.writeString(file, config);
+        var builder = new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"), "-Xmx96m",
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                "wallmoor.Main", "serve");
+        builder.environment().put("ROUTER_CONFIG", file.toString());
+        if (ogc != null) {
+            builder.environment().put("WALLMOOR_OGC", ogc.toString());
+        }
+        return builder.start();
+    }
+
+    static int freePort() throws IOException {
+        try (var socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Waits for something that must come, for long enough on a slow machine. */
+    static void await(String what, BooleanSupplier came) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(15);
+        while (!came.getAsBoolean()) {
+            if (System.nanoTime() > until) {
+                throw new AssertionError("did not come: " + what);
+            }
+            Thread.sleep(10);
+        }
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly().onExit().join();
+    }
+}
--- /dev/null
+++ b/src/test/java/wallmoor/net/StandIn.java
@@ -0,0 +1,168 @@
+package wallmoor.net;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+
+/** A small server on a free port, a thread a connection; it writes down what came, in order. */
+abstract class StandIn implements AutoCloseable {
+    /** What came, over all stand-ins of a test: their order tells which came first. */
+    final List<String> seen = Collections.synchronizedList(new ArrayList<>());
+    final ServerSocket socket;
+
+    StandIn() throws IOException {
+        socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        start(() -> {
+            while (true) {
+                Socket peer = socket.accept();
+                start(() -> {
+                    seen.add("open");
+                    try (peer) {
+                        serve(peer);
+                    } finally {
+                        seen.add("closed");
+                    }
+                });
+            }
+        });
+    }
+
+    interface Work {
+        void run() throws IOException, InterruptedException;
+    }
+
+    private static void start(Work work) {
+        var thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (IOException | InterruptedException e) {
+                // the test is over, or the peer has gone
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    abstract void serve(Socket peer) throws IOException, InterruptedException;
+
+    int port() {
+        return socket.getLocalPort();
+    }
+
+    long count(String start) {
+        synchronized (seen) {
+            return seen.stream().filter(s -> s.startsWith(start)).count();
+        }
+    }
+
+    String member(String id, int cell, String phase) {
+        return "{\"id\":\"" + id + "\",\"host_port\":\"127.0.0.1:" + port() + "\",\"locality\":\"east\","
+                + "\"flavor\":\"k\",\"cell\":" + cell + ",\"phase\":\"" + phase + "\",\"size\":1.0,\"up_since_ms\":0}";
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+
+    /** A worker: {@code answer} turns a part's id into END, or into null for silence, or "break" or "garbage". */
+    static final class Worker extends StandIn {
+        final Function<String, String> answer;
+
+        Worker(Function<String, String> answer) throws IOException {
+            this.answer = answer;
+        }
+
+        @Override
+        void serve(Socket peer) throws IOException {
+            var in = new DataInputStream(peer.getInputStream());
+            while (true) {
+                byte[] frame = new byte[in.readInt()];
+                in.readFully(frame);
+                String text = new String(frame, StandardCharsets.ISO_8859_1);
+                seen.add(text);
+                if (text.charAt(0) != 'Q') {
+                    continue;
+                }
+                String id = text.substring(1).split(" ")[0];
+                String end = answer.apply(id);
+                if ("break".equals(end)) {
+                    return;
+                }
+                byte[] reply = ("garbage".equals(end) ? "?" : "A" + id + " " + end + " 7 -\nv" + id)
+                        .getBytes(StandardCharsets.ISO_8859_1);
+                if (end != null) {
+                    var out = new java.io.ByteArrayOutputStream();
+                    new java.io.DataOutputStream(out).writeInt(reply.length);
+                    out.write(reply);
+                    peer.getOutputStream().write(out.toByteArray());
+                }
+            }
+        }
+    }
+
+    /** Discovery: its watches send what {@link #say} is given, and nothing else where {@link #silent}. */
+    static final class Discovery extends StandIn {
+        private final List<Socket> watches = Collections.synchronizedList(new ArrayList<>());
+        volatile boolean silent;
+
+        Discovery() throws IOException {
+        }
+
+        @Override
+        void serve(Socket peer) throws IOException, InterruptedException {
+            seen.add(Client.head(peer.getInputStream()).split("\r\n")[0]);
+            peer.getOutputStream().write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
+            watches.add(peer);
+            while (true) {
+                Thread.sleep(500);
+                if (!silent) {
+                    write(peer, "\n");
+                }
+            }
+        }
+
+        void say(String json) throws IOException {
+            for (Socket watch : List.copyOf(watches)) {
+                write(watch, json + "\n");
+            }
+        }
+
+        private static synchronized void write(Socket peer, String line) throws IOException {
+            peer.getOutputStream().write((Integer.toHexString(line.length()) + "\r\n" + line + "\r\n").getBytes());
+        }
+    }
+
+    /** A feature server: {@code answer} turns a target into a body, a status, or null for silence. */
+    static final class FeatureServer extends StandIn {
+        final Function<String, String> answer;
+
+        FeatureServer(Function<String, String> answer) throws IOException {
+            this.answer = answer;
+        }
+
+        @Override
+        void serve(Socket peer) throws IOException {
+            while (true) {
+                String target = Client.head(peer.getInputStream()).split(" ")[1];
+                seen.add(target);
+                String body = answer.apply(target);
+                if (body == null) {
+                    continue;
+                }
+                boolean status = body.matches("[0-9]{3}");
+                byte[] bytes = (status ? "{}" : body).getBytes(StandardCharsets.UTF_8);
+                peer.getOutputStream().write(("HTTP/1.1 " + (status ? body : "200") + " Status\r\nContent-Type: "
+                        + "application/geo+json\r\nContent-Length: " + bytes.length + "\r\n\r\n").getBytes());
+                peer.getOutputStream().write(bytes);
+            }
+        }
+    }
+}
