Give each region its own upstream collection, shrink pages that are too large

Seen while writing the example: two regions held by one feature server were asked for by the same path, so a page named each feature twice. An upstream page over 64 KiB failed its part on every attempt; a class that may repeat now asks for fewer features at once. The end of the page bound is no failure any more: the rest is for the next page.

--- a/src/main/java/wallmoor/config/OgcConfig.java
+++ b/src/main/java/wallmoor/config/OgcConfig.java
@@ -23,14 +23,22 @@
  */
 public record OgcConfig(InetSocketAddress listen, String base, String title, Path inventory, Layout layout,
         Map<String, Collection> collections) {
+    private static final String SHARD = "{shard}";
     private static final String DEFAULT_FILE = "deploy/ogc.yaml";
 
     /**
      * A collection of features, spread over shards.
      *
+     * @param source     the upstream collection that is a shard's share, with {shard} for its number
      * @param queryClass the index of the class whose rules its queries keep
      */
-    public record Collection(String id, String title, String description, int queryClass, List<Integer> shards) {
+    public record Collection(String id, String title, String description, String source, int queryClass,
+            List<Integer> shards) {
+
+        /** Where a feature server has a shard's features. */
+        public String items(int shard) {
+            return "/collections/" + source.replace(SHARD, "" + shard) + "/items";
+        }
     }
 
     /** Reads the file, or gives null where the front is off. */
@@ -100,7 +108,11 @@
             }
             shards.add(s);
         }
-        return new Collection(id, text(at, path, "title", id), text(at, path, "description", ""), queryClass,
+        String source = text(at, path, "source", id + "-" + SHARD);
+        if (!source.replace(SHARD, "").matches("[A-Za-z0-9._-]*") || shards.size() > 1 && !source.contains(SHARD)) {
+            throw new ConfigException(path + "source", path + "source must be a name with " + SHARD + ": " + source);
+        }
+        return new Collection(id, text(at, path, "title", id), text(at, path, "description", ""), source, queryClass,
                 List.copyOf(shards));
     }
 
--- a/src/main/java/wallmoor/http/HttpIn.java
+++ b/src/main/java/wallmoor/http/HttpIn.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -292,7 +293,8 @@
 
     private static boolean keeps(List<String> headers, String version) {
         String connection = Message.find(headers, "Connection");
-        return connection == null ? version.equals("HTTP/1.1") : !connection.equalsIgnoreCase("close");
+        List<String> said = connection == null ? List.of() : List.of(connection.toLowerCase(Locale.ROOT).split("[ ,]+"));
+        return version.equals("HTTP/1.1") ? !said.contains("close") : said.contains("keep-alive");
     }
 
     /** Makes room for so many bytes in one piece from here on. */
--- a/src/main/java/wallmoor/http/Server.java
+++ b/src/main/java/wallmoor/http/Server.java
@@ -26,6 +26,7 @@
     }
 
     private static final int BACKLOG = 256;
+    private static final int BIND_TRIES = 20;
     /** A request that began to come in must be whole within this time. */
     private static final int REQUEST_MILLIS = 10_000;
     /** A client that takes nothing of its answer for so long is given up. */
@@ -51,12 +52,22 @@
         work = Threads.pool(name + "-query", mostWork);
         socket = new ServerSocket();
         socket.setReuseAddress(true);
-        socket.bind(listen, BACKLOG);
+        bind(listen);
     }
 
-    /** Where it listens. */
-    public InetSocketAddress address() {
-        return (InetSocketAddress) socket.getLocalSocketAddress();
+    /** A gatherer that was killed comes back at its address; what is left of the old one may hold it for a moment. */
+    private void bind(InetSocketAddress listen) throws IOException {
+        for (int tries = 1;; tries++) {
+            try {
+                socket.bind(listen, BACKLOG);
+                return;
+            } catch (java.net.BindException e) {
+                if (tries == BIND_TRIES) {
+                    throw e;
+                }
+                pause(100);
+            }
+        }
     }
 
     /** Begins to take connections. */
@@ -93,7 +104,7 @@
             } catch (IOException | OutOfMemoryError e) {
                 if (!socket.isClosed()) {
                     log.accept(name + " cannot accept: " + e);
-                    pause();
+                    pause(5);
                 }
             }
         }
@@ -107,13 +118,13 @@
         while (connections.size() >= mostConnections && !socket.isClosed()) {
             connections.stream().filter(Connection::idle)
                     .min((a, b) -> Long.compare(a.idleSince, b.idleSince)).ifPresent(Connection::close);
-            pause();
+            pause(5);
         }
     }
 
-    private static void pause() {
+    private static void pause(long millis) {
         try {
-            Thread.sleep(5);
+            Thread.sleep(millis);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/wallmoor/ogc/Features.java
+++ b/src/main/java/wallmoor/ogc/Features.java
@@ -40,7 +40,7 @@
     private static final String JSON = "application/json";
     private static final String GEOJSON = "application/geo+json";
     /** Room kept in the longest body for what stands round the features. */
-    private static final int MOST_FEATURES_BYTES = HttpIn.MOST_BODY - 8 * 1024;
+    static final int MOST_FEATURES_BYTES = HttpIn.MOST_BODY - 8 * 1024;
     /** Time kept back from the client's deadline for the answer's way and a busy machine (microseconds). */
     private static final long FOR_THE_WIRE = 10_000;
     private static final long REREAD_MILLIS = 500;
@@ -212,7 +212,7 @@
         }
         int wanted = Math.max(1, (params.limit() + from.size() - 1) / from.size());
         Step.Final end = ask(exchange, request, c, List.copyOf(from.keySet()),
-                new Upstream("/collections/" + c.id() + "/items", params.query(), null, wanted, from, safe(c)));
+                new Upstream(c, params.query(), null, wanted, from, safe(c)));
         if (end instanceof Step.Answer a) {
             answer(exchange, GEOJSON, page(a, c, params, from, base, request.target()));
         } else {
@@ -275,7 +275,7 @@
         List<Integer> left = new ArrayList<>(c.shards());
         while (!left.isEmpty()) {
             Step.Final end = ask(exchange, request, c, left,
-                    new Upstream("/collections/" + c.id() + "/items", "", escaped, 1, Map.of(), safe(c)));
+                    new Upstream(c, "", escaped, 1, Map.of(), safe(c)));
             if (!(end instanceof Step.Answer answer)) {
                 ended(exchange, end);
                 return;
--- a/src/main/java/wallmoor/ogc/Fetch.java
+++ b/src/main/java/wallmoor/ogc/Fetch.java
@@ -24,7 +24,7 @@
  * counts only when all of them are in; a later page that fails may not pass for a part that never ran.
  */
 final class Fetch {
-    /** Upstream pages of one part at most: a server whose pages never end fails the attempt. */
+    /** Upstream pages of one part at most: what a server has beyond them is for the client's next page. */
     private static final int MOST_PAGES = 64;
     /** Features asked for at once: a page must fit the longest body. */
     private static final int MOST_ASKED = 50;
@@ -139,7 +139,7 @@
 
     private Upstream.Share pages(Upstream asked) throws IOException, HttpProblem, Json.Malformed, Refused {
         if (asked.one() != null) {
-            Message answer = get(asked.path() + "/" + asked.one());
+            Message answer = get(asked.of().items(attempt.shard()) + "/" + asked.one());
             if (answer.status() == 404) {
                 return new Upstream.Share(false, List.of());
             }
@@ -148,11 +148,23 @@
             return new Upstream.Share(false, List.of(raw(feature, body)));
         }
         var features = new ArrayList<byte[]>();
+        int from = asked.from().get(attempt.shard());
         int limit = Math.min(MOST_ASKED, asked.wanted());
-        String target = asked.path() + "?limit=" + limit + "&offset=" + asked.from().get(attempt.shard())
-                + asked.query();
+        String target = target(asked, limit, from);
+        int bytes = 0;
         for (int page = 0; page < MOST_PAGES; page++) {
-            Slice body = get(target).body();
+            Slice body;
+            try {
+                body = get(target).body();
+            } catch (HttpProblem e) {
+                if (e.status() != 413 || limit == 1 || !asked.repeat()) {
+                    throw e;
+                }
+                limit = Math.max(1, limit / 4); // so many features don't fit a body: fewer may
+                target = target(asked, limit, from + features.size());
+                ended = true;
+                continue;
+            }
             Json.Obj json = Json.object(body.buffer(), body.from(), body.length());
             if (!"FeatureCollection".equals(json.text("type")) || json.list("features") == null) {
                 throw new HttpProblem(502, "no FeatureCollection");
@@ -162,16 +174,28 @@
                     throw new HttpProblem(502, "no Feature");
                 }
                 features.add(raw(feature, body));
+                bytes += feature.end() - feature.start();
             }
             String next = next(json);
-            if (next == null || features.size() >= asked.wanted()) {
-                boolean more = next != null || features.size() > asked.wanted();
-                return new Upstream.Share(more,
-                        features.subList(0, Math.min(features.size(), asked.wanted())));
+            if (next == null || features.size() >= asked.wanted() || bytes > Features.MOST_FEATURES_BYTES) {
+                return share(features, asked.wanted(), next != null);
             }
             target = onThisServer(next, target);
         }
-        throw new HttpProblem(502, "pages without end");
+        if (features.isEmpty()) {
+            throw new HttpProblem(502, "pages without end");
+        }
+        return share(features, asked.wanted(), true);
+    }
+
+    private String target(Upstream asked, int limit, int from) {
+        return asked.of().items(attempt.shard()) + "?limit=" + limit + "&offset=" + from + asked.query();
+    }
+
+    /** At most the features wanted; those beyond are still to come. */
+    private static Upstream.Share share(List<byte[]> features, int wanted, boolean more) {
+        return new Upstream.Share(more || features.size() > wanted,
+                features.subList(0, Math.min(features.size(), wanted)));
     }
 
     private static byte[] raw(Json.Obj feature, Slice body) throws HttpProblem {
--- a/src/main/java/wallmoor/ogc/Upstream.java
+++ b/src/main/java/wallmoor/ogc/Upstream.java
@@ -1,12 +1,13 @@
 package wallmoor.ogc;
 
 import java.util.List;
+import wallmoor.config.OgcConfig;
 import wallmoor.core.Step;
 
 /**
  * What a query asks of feature servers, the same for all its parts but for where each goes on.
  *
- * @param path    the collection's path for items
+ * @param of      the collection, which knows where each shard's features are
  * @param query   further parameters, ready to be appended
  * @param one     the id of the one feature that is wanted, or null for a page
  * @param wanted  features a part is to bring at most
@@ -14,7 +15,7 @@
  * @param repeat  whether the class lets a part run twice: if not, only new connections are used, since one that was
  *                kept may have been closed by the server without our knowing
  */
-record Upstream(String path, String query, String one, int wanted, java.util.Map<Integer, Integer> from,
+record Upstream(OgcConfig.Collection of, String query, String one, int wanted, java.util.Map<Integer, Integer> from,
         boolean repeat) {
 
     /** A part's value: features as they came, and whether the shard has more. */
--- a/src/main/java/wallmoor/platform/Platform.java
+++ b/src/main/java/wallmoor/platform/Platform.java
@@ -143,11 +143,11 @@
     }
 
     private static long deadline(String value) throws HttpProblem {
-        if (value == null || !value.matches("[0-9]{1,12}[mu]")) {
+        if (value == null || !value.matches("[0-9]{1,12}(\\.[0-9]{1,9})?[mu]")) {
             throw new HttpProblem(400, "X-Deadline is absent or malformed");
         }
-        long number = Long.parseLong(value.substring(0, value.length() - 1));
-        return value.endsWith("m") ? 1000 * number : number;
+        double number = Double.parseDouble(value.substring(0, value.length() - 1));
+        return (long) (value.endsWith("m") ? 1000 * number : number);
     }
 
     private List<Query.Ask> asks(Json.Obj body) throws HttpProblem {
