Test the facade with a hand-turned clock, and shorten warm-up and half-sent requests

With half-sent requests open the program took 5.5 s to end after SIGTERM, beyond the 4.7 s at which SIGKILL may come: a request must now be whole within 5 s, and the wait for the last answers ends 4.6 s after the signal.

The facade's promises (no second copy, drains for parts not yet picked, what may be held) have tests without sockets.

--- a/src/main/java/wallmoor/Main.java
+++ b/src/main/java/wallmoor/Main.java
@@ -22,7 +22,7 @@
     /** After SIGTERM new connections keep coming for up to 0.4 s; longer on a busy machine. */
     private static final long HAND_OVER_MILLIS = 700;
     /** SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM. */
-    private static final long FINISH_MILLIS = 4_500;
+    private static final long FINISH_MILLIS = 3_900;
 
     private Main() {
     }
--- a/src/main/java/wallmoor/core/WarmUp.java
+++ b/src/main/java/wallmoor/core/WarmUp.java
@@ -10,8 +10,8 @@
  * would else wait for classes to be loaded and compiled.
  */
 public final class WarmUp {
-    private static final int QUERIES = 400;
-    private static final long MOST_MILLIS = 1500;
+    private static final int QUERIES = 150;
+    private static final long MOST_MILLIS = 800;
 
     private WarmUp() {
     }
--- a/src/main/java/wallmoor/http/Server.java
+++ b/src/main/java/wallmoor/http/Server.java
@@ -28,7 +28,7 @@
     private static final int BACKLOG = 256;
     private static final int BIND_TRIES = 20;
     /** A request that began to come in must be whole within this time. */
-    private static final int REQUEST_MILLIS = 10_000;
+    private static final int REQUEST_MILLIS = 5_000;
     /** A client that takes nothing of its answer for so long is given up. */
     private static final long WRITE_MILLIS = 5_000;
 
--- /dev/null
+++ b/src/test/java/wallmoor/core/GathererTest.java
@@ -0,0 +1,137 @@
+package wallmoor.core;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+import wallmoor.config.SettingsReader;
+import wallmoor.decision.RouterApi.Settings;
+
+/** The facade with a hand-turned clock and no sockets. */
+public class GathererTest {
+    private static final String SETTINGS = "Classes.count=2 Classes.0.Aim=1000000 Classes.0.GiveUp=2000000"
+            + " Classes.0.Repeat=free Classes.0.Worth=1 Classes.0.LateWorth=0.1 Classes.1.Aim=1000000"
+            + " Classes.1.GiveUp=2000000 Classes.1.Repeat=single_shot Classes.1.Worth=1 Classes.1.LateWorth=0.1"
+            + " Domain.NeedByClass=1,1 Domain.FloorByClass=1,1 Domain.Reach=1 Domain.Sets=1 Domain.Slabs=4"
+            + " Discovery=subscribe Instances=1 Position=0 Round=5000 Limits.MaxAttempts=4 Limits.MaxOpen=20"
+            + " Limits.Cancelling=true Limits.RetryAfter=true Limits.MaxRetryAfter=2000000 Contract.DrainGrace=2000000"
+            + " Contract.ColdShare=0.16 Contract.Cold=18000000 Contract.FallMultiple=2 Contract.OverloadFor=2000000";
+
+    private final AtomicLong clock = new AtomicLong(1_000_000_000);
+    private final List<String> log = new ArrayList<>();
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private Gatherer gatherer;
+
+    @Before
+    public void start() {
+        var pairs = new HashMap<String, String>();
+        for (String pair : SETTINGS.split(" ")) {
+            pairs.put(pair.split("=")[0], pair.split("=")[1]);
+        }
+        Settings settings = new SettingsReader(pairs).settings();
+        gatherer = new Gatherer(settings, 7, clock::get, log::add);
+        gatherer.start(List.of(member("a", Member.State.SERVING), member("b", Member.State.SERVING)));
+    }
+
+    @After
+    public void stop() {
+        threads.shutdownNow();
+    }
+
+    private static Member member(String id, Member.State state) {
+        return new Member(id, id, 0, 0, 0, state, 1, 0);
+    }
+
+    private Query open(String id, int queryClass) {
+        return gatherer.open(id, queryClass, clock.get() + 2_000_000, false,
+                List.of(new Query.Ask(0, 1, -1)), null);
+    }
+
+    private Step pick(Query query) throws Exception {
+        Future<Step> step = threads.submit(() -> gatherer.pick(query));
+        return step.get(10, TimeUnit.SECONDS);
+    }
+
+    /** Lets time go on in the steps that the sweeps need. */
+    private void pass(long millis) throws Exception {
+        for (long t = 0; t < millis; t += 10) {
+            clock.addAndGet(10_000);
+            gatherer.tick(0);
+        }
+    }
+
+    @Test
+    public void aPartIsNotSentAgainBeforeTheFirstIsSeenToHaveEnded() throws Exception {
+        Query q = open("q", 0);
+        var first = (Step.Send) pick(q);
+        pass(700); // silent for longer than a part may take: it is called off
+        var cancel = (Step.Cancel) pick(q);
+        assertEquals(first.attempts().get(0), cancel.attempt());
+        Future<Step> next = threads.submit(() -> gatherer.pick(q));
+        Thread.sleep(100);
+        assertFalse("a second copy would be out", next.isDone());
+        gatherer.report(cancel.attempt(), cancel.as(), null);
+        var second = (Step.Send) next.get(10, TimeUnit.SECONDS);
+        assertFalse(first.worker() == second.worker());
+        gatherer.report(second.attempts().get(0), Outcome.SERVED, new byte[] {7});
+        gatherer.report(first.attempts().get(0), Outcome.SERVED, new byte[] {8}); // its answer crossed its end
+        var answer = (Step.Answer) pick(q);
+        assertTrue(answer.whole());
+        assertEquals("only the first report of an attempt counts", 7, answer.values().get(0).bytes()[0]);
+    }
+
+    @Test
+    public void aDrainHoldsForWhatWasDecidedButNotYetPicked() throws Exception {
+        Query q = open("q", 1);
+        gatherer.members(false, List.of(member("a", Member.State.DRAINING)));
+        var send = (Step.Send) pick(q);
+        assertEquals("b", send.worker().id());
+        Query r = open("r", 1);
+        gatherer.members(true, List.of(member("a", Member.State.SERVING)));
+        assertEquals("b is gone from a whole list", "a", ((Step.Send) pick(r)).worker().id());
+    }
+
+    @Test
+    public void moreThanMayBeHeldIsRefusedAtOnceWithATime() throws Exception {
+        int refused = 0;
+        for (int i = 0; i < 15; i++) {
+            Query q = open("q" + i, 0);
+            if (pick(q) instanceof Step.Refuse r) {
+                assertTrue(r.comeBackAfter() > 0);
+                assertFalse(r.tried());
+                refused++;
+            }
+        }
+        assertTrue(refused + " refused", refused >= 5); // a query and its part count as two of the 20
+        assertEquals(15 - refused, gatherer.openQueries());
+    }
+
+    @Test
+    public void aClientThatLeavesAndADeadlineCallOffWhatIsOut() throws Exception {
+        Query q = open("q", 1);
+        var send = (Step.Send) pick(q);
+        gatherer.gone(q);
+        assertEquals(send.attempts().get(0), ((Step.Cancel) pick(q)).attempt());
+        assertTrue(pick(q) instanceof Step.Gone);
+        gatherer.report(Map.of(send.attempts().get(0), Outcome.CANCELLED));
+        Query late = open("late", 1);
+        pick(late);
+        pass(1990);
+        assertTrue(pick(late) instanceof Step.Cancel);
+        assertTrue("it may have run: no refusal", pick(late) instanceof Step.Fail f && f.late());
+        assertEquals(0, gatherer.openQueries());
+        assertTrue(log.toString(), log.stream().noneMatch(l -> l.contains("module failed")));
+    }
+}
