Keep late answers from being taken for those to a new attempt of the part

A part called off and not answered since now goes over another connection. The test fails without that (one connection where there must be two) and passes with it.

The inventory is taken once two readings agree, so that a half-written file does not make hosts seem gone; connections kept to feature servers are closed when old.

--- a/src/main/java/wallmoor/ogc/FeatureServers.java
+++ b/src/main/java/wallmoor/ogc/FeatureServers.java
@@ -1,6 +1,7 @@
 package wallmoor.ogc;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
@@ -84,16 +85,15 @@
     }
 
     private void keep(Fetch.Kept back) {
-        Fetch.Kept oldest = null;
+        var old = new ArrayList<Fetch.Kept>();
         synchronized (kept) {
             Deque<Fetch.Kept> here = kept.computeIfAbsent(back.address(), a -> new ArrayDeque<>());
             here.addLast(back);
             if (here.size() > MOST_KEPT) {
-                oldest = here.pollFirst();
+                old.add(here.pollFirst());
             }
+            kept.values().forEach(all -> all.removeIf(k -> k.isOld() && old.add(k)));
         }
-        if (oldest != null) {
-            oldest.close();
-        }
+        old.forEach(Fetch.Kept::close);
     }
 }
--- a/src/main/java/wallmoor/ogc/Features.java
+++ b/src/main/java/wallmoor/ogc/Features.java
@@ -43,7 +43,7 @@
     static final int MOST_FEATURES_BYTES = HttpIn.MOST_BODY - 8 * 1024;
     /** Time kept back from the client's deadline for the answer's way and a busy machine (microseconds). */
     private static final long FOR_THE_WIRE = 10_000;
-    private static final long REREAD_MILLIS = 500;
+    private static final long REREAD_MILLIS = 350;
 
     private final OgcConfig config;
     private final Settings settings;
--- a/src/main/java/wallmoor/ogc/Fetch.java
+++ b/src/main/java/wallmoor/ogc/Fetch.java
@@ -32,10 +32,15 @@
 
     /** A connection between two attempts. */
     record Kept(Socket socket, HttpIn in, String address, long since) {
+        /** Whether its server may be about to close it. */
+        boolean isOld() {
+            return System.nanoTime() - since > RETIRE_NANOS;
+        }
+
         /** Whether it is young enough and the server has not closed it meanwhile. */
         boolean usable() {
             try {
-                if (System.nanoTime() - since < RETIRE_NANOS) {
+                if (!isOld()) {
                     in.await(1);
                 }
                 return false; // too old, at its end, or with bytes that nobody asked for
--- a/src/main/java/wallmoor/ogc/Inventory.java
+++ b/src/main/java/wallmoor/ogc/Inventory.java
@@ -31,6 +31,7 @@
     private final List<String> zones;
     private final Map<String, Member> last = new HashMap<>();
     private byte[] seen;
+    private byte[] coming;
     private boolean first = true;
 
     Inventory(Path file, Layout layout, List<String> zones) {
@@ -51,6 +52,11 @@
             throw new ConfigException("inventory", file + " can't be read: " + e);
         }
         if (Arrays.equals(text, seen)) {
+            coming = null;
+            return null;
+        }
+        if (!first && !Arrays.equals(text, coming)) {
+            coming = text; // it may be half-written: hosts not yet in it must not seem gone
             return null;
         }
         seen = text; // a fault in it is told once
--- a/src/main/java/wallmoor/platform/WorkerConnection.java
+++ b/src/main/java/wallmoor/platform/WorkerConnection.java
@@ -10,7 +10,9 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
@@ -27,6 +29,7 @@
  */
 final class WorkerConnection {
     private static final int MOST_FRAME = 64 * 1024 + 1024;
+    private static final int MOST_UNHEARD = 512;
     /** A connection this long in one write has a peer that no longer reads. */
     private static final long STUCK_NANOS = TimeUnit.MILLISECONDS.toNanos(1500);
 
@@ -56,6 +59,11 @@
     /** Bounded: a call needs room in {@link #out}, and an attempt is cancelled once. */
     private final Deque<Frame> frames = new ArrayDeque<>();
     private final Map<String, Entry> out = new LinkedHashMap<>();
+    /**
+     * Parts called off here whose answer may still be on its way. Another attempt of such a part goes over another
+     * connection: a late answer to the first, taken for one to the second, would let a third out beside it.
+     */
+    private final Set<String> unheard = new LinkedHashSet<>();
     private final Socket socket = new Socket();
     private boolean closed;
     private boolean retired;
@@ -99,8 +107,8 @@
                 return false;
             }
             for (Attempt a : send.attempts()) {
-                if (out.containsKey(a.partId())) {
-                    return false; // an earlier attempt of this part is not off this connection yet
+                if (out.containsKey(a.partId()) || unheard.contains(a.partId())) {
+                    return false;
                 }
             }
             send.attempts().forEach(a -> out.put(a.partId(), new Entry(a)));
@@ -185,11 +193,9 @@
 
     /** Connects, then writes frames until the connection ends; then reports what is still out on it. */
     void run() {
-        boolean connected = false;
         try {
             socket.setTcpNoDelay(true);
             socket.connect(address, limits.connectMillis());
-            connected = true;
             wallmoor.http.Threads.start(name + "-read", this::read);
             write();
         } catch (IOException | RuntimeException | OutOfMemoryError e) {
@@ -313,7 +319,14 @@
     private boolean take(Entry entry) {
         lock.lock();
         try {
-            return out.remove(entry.attempt.partId(), entry);
+            boolean taken = out.remove(entry.attempt.partId(), entry);
+            if (taken) {
+                unheard.add(entry.attempt.partId());
+                if (unheard.size() > MOST_UNHEARD) {
+                    unheard.remove(unheard.iterator().next()); // long past its query's time
+                }
+            }
+            return taken;
         } finally {
             lock.unlock();
         }
@@ -418,6 +431,7 @@
         lock.lock();
         try {
             usedAt = System.nanoTime();
+            unheard.remove(line[0]);
             entry = out.get(line[0]);
             if (entry != null && entry.state != State.QUEUED) {
                 out.remove(line[0]);
--- a/src/test/java/wallmoor/net/PlatformTest.java
+++ b/src/test/java/wallmoor/net/PlatformTest.java
@@ -126,6 +126,31 @@
         Program.await("the end of the first", () -> one.count("Xs.0") + other.count("Xs.0") == 1);
     }
 
+    @Test
+    public void aPartGoesBackToAWorkerOverAnotherConnection() throws Exception {
+        // a late answer to the attempt called off must not be taken for one to the new attempt
+        var calls = new AtomicInteger();
+        Function<String, String> answer = id -> id.startsWith("z") ? null : switch (calls.getAndIncrement()) {
+            case 0 -> null;
+            case 1 -> "break";
+            default -> "ok";
+        };
+        var one = worker(answer);
+        var other = worker(answer);
+        start(one.member("a", 0, "SERVING"), other.member("b", 0, "SERVING"));
+        var client = new Client(program.port).send(Client.query("b", "all", 1900, 0));
+        open.add(client);
+        Program.await("the part", () -> calls.get() == 1);
+        for (int i = 0; i < 4; i++) { // others stay out there: the connection is not idle
+            open.add(new Client(program.port).send(Client.query("z" + i, "once", 1900, 0)));
+        }
+        Program.await("the others", () -> one.count("Qz") + other.count("Qz") == 4);
+        assertEquals(200, client.answer().status);
+        var first = one.count("Xb.0") == 1 ? one : other;
+        assertEquals(2, first.count("Qb.0"));
+        assertEquals(2, first.count("open"));
+    }
+
     @Test
     public void anAnswerComesBeforeTheDeadlineAndCallsAllOff() throws Exception {
         var silent = worker(id -> null);
--- /dev/null
+++ b/src/test/java/wallmoor/ogc/InventoryTest.java
@@ -0,0 +1,76 @@
+package wallmoor.ogc;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertThrows;
+import static org.junit.Assert.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+import wallmoor.config.ConfigException;
+import wallmoor.core.Member;
+import wallmoor.decision.RouterApi.Layout;
+
+public class InventoryTest {
+    private static final String YAML = """
+            all:
+              vars: {zone: east, port: 80, contact: {name: nobody}}
+              children:
+                west_hall:
+                  vars: {zone: west}
+                  hosts:
+                    a: {ansible_host: 127.0.0.1, cell: 0}
+                    b: {address: "127.0.0.2:81", cell: 1, zone: east, state: draining}
+            """;
+
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+
+    private Inventory inventory(Path file) {
+        return new Inventory(file, new Layout(4, 2, 1), List.of("east", "west"));
+    }
+
+    @Test
+    public void nearerVariablesWinAndServersThatComeBackAreCold() throws Exception {
+        Path file = folder.newFile("hosts.yaml").toPath();
+        Files.writeString(file, YAML);
+        Inventory inventory = inventory(file);
+        assertEquals(List.of(new Member("a", "127.0.0.1:80", 1, 0, 0, Member.State.SERVING, 1, 0),
+                new Member("b", "127.0.0.2:81", 0, 0, 1, Member.State.DRAINING, 1, 0)), inventory.changed(5));
+        assertNull(inventory.changed(6));
+        Files.writeString(file, YAML.replace("draining", "serving"));
+        assertNull(inventory.changed(7));
+        assertEquals(8, inventory.changed(8).get(1).upSince());
+    }
+
+    @Test
+    public void aHalfWrittenFileDoesNotMakeHostsSeemGone() throws Exception {
+        Path file = folder.newFile("hosts.yaml").toPath();
+        Files.writeString(file, YAML);
+        Inventory inventory = inventory(file);
+        inventory.changed(0);
+        Files.writeString(file, YAML.substring(0, YAML.indexOf("        b:"))); // well-formed, and a host short
+        assertNull(inventory.changed(0));
+        Files.writeString(file, YAML + "\n");
+        assertNull(inventory.changed(0));
+        assertEquals(2, inventory.changed(0).size());
+    }
+
+    @Test
+    public void aBadRowIsNamed() throws Exception {
+        String csv = "host,address,zone,cell,state\nok,127.0.0.1:1,east,0,\n";
+        String[][] bad = {{"x,127.0.0.1:1,north,0,serving", "host x"}, {"x,nowhere,east,0,serving", "host x"},
+            {"x,127.0.0.1:1,east,2,serving", "host x"}, {"x,127.0.0.1:1,east,0,resting", "host x"},
+            {"x,127.0.0.1:1,east", "row 3"}, {"ok,127.0.0.1:1,east,0,serving", "row 3"}, {",a:1,east,0,", "row 3"}};
+        for (String[] b : bad) {
+            Path file = folder.newFile().toPath();
+            Path named = Files.writeString(file.resolveSibling(file.getFileName() + ".csv"), csv + b[0] + "\n");
+            String said = assertThrows(ConfigException.class, () -> inventory(named).changed(0)).getMessage();
+            assertTrue(b[0] + ": " + said, said.contains(b[1]) && said.contains(".csv"));
+        }
+    }
+}
