Read bodies that end with their connection in one piece

Read while cleaning up: HttpIn.untilClosed kept the body's start in a local, and HttpIn.reserve moves it when the buffer grows, so a body without a length was garbled past the first 2 KB. The new test (a feature server that closes after 30 KB) failed with 502 before the change and passes after it. A message that ends with its connection no longer counts as one that keeps it.

--- a/src/main/java/wallmoor/http/HttpIn.java
+++ b/src/main/java/wallmoor/http/HttpIn.java
@@ -27,7 +27,6 @@
 
     private final Socket socket;
     private final InputStream in;
-    private final int mostBody;
     private byte[] buffer = new byte[FIRST_SIZE];
     private int at;
     private int end;
@@ -36,11 +35,10 @@
     private boolean chunked;
     private int chunkLeft;
 
-    /** Reads from this connection, bodies up to {@code mostBody}. */
-    public HttpIn(Socket socket, int mostBody) throws IOException {
+    /** Reads from this connection. */
+    public HttpIn(Socket socket) throws IOException {
         this.socket = socket;
         this.in = socket.getInputStream();
-        this.mostBody = mostBody;
     }
 
     /** Waits for the first byte of the next message, for ever if 0; false if the peer closes instead. */
@@ -102,8 +100,9 @@
             framing(headers);
         }
         boolean none = status == 204 || status == 304 || status < 200;
+        boolean ends = !chunked(headers) && Message.find(headers, "Content-Length") == null && !none;
         return new Message("", "", status, headers, withBody && !none ? body(headers, true) : Slice.EMPTY,
-                keeps(headers, first.substring(0, 8)), begunAt);
+                !ends && keeps(headers, first.substring(0, 8)), begunAt);
     }
 
     /** The next line of an open-ended chunked body, without its end; null where the body ends. */
@@ -179,7 +178,7 @@
                     throw new HttpProblem(400, "malformed Content-Length");
                 }
                 long given = Long.parseLong(value);
-                if (given > mostBody) {
+                if (given > MOST_BODY) {
                     throw new HttpProblem(413, "body too large");
                 }
                 if (length >= 0 && length != given) {
@@ -198,7 +197,7 @@
         byte[] body = new byte[1024];
         int length = 0;
         while (nextChunk()) {
-            if (length + chunkLeft > mostBody) {
+            if (length + chunkLeft > MOST_BODY) {
                 throw new HttpProblem(413, "body too large");
             }
             if (length + chunkLeft > body.length) {
@@ -239,16 +238,15 @@
     }
 
     private Slice untilClosed() throws IOException, HttpProblem {
-        int from = at;
         try {
             while (true) {
-                if (end - from > mostBody) {
+                if (end - at > MOST_BODY) {
                     throw new HttpProblem(413, "body too large");
                 }
-                at = from;
-                fill();
+                fill(); // may move what is in; it still begins at 'at'
             }
         } catch (EOFException e) {
+            int from = at;
             at = end;
             return new Slice(buffer, from, end - from);
         }
@@ -291,6 +289,10 @@
         }
     }
 
+    private static boolean chunked(List<String> headers) {
+        return Message.find(headers, "Transfer-Encoding") != null;
+    }
+
     private static boolean keeps(List<String> headers, String version) {
         String connection = Message.find(headers, "Connection");
         List<String> said = connection == null ? List.of() : List.of(connection.toLowerCase(Locale.ROOT).split("[ ,]+"));
--- a/src/main/java/wallmoor/http/Server.java
+++ b/src/main/java/wallmoor/http/Server.java
@@ -172,7 +172,7 @@
         void run() {
             try (client) {
                 client.setTcpNoDelay(true);
-                var in = new HttpIn(client, HttpIn.MOST_BODY);
+                var in = new HttpIn(client);
                 boolean keep = true;
                 while (keep && in.await(0)) {
                     busy = true;
--- a/src/main/java/wallmoor/json/Json.java
+++ b/src/main/java/wallmoor/json/Json.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
  * A small JSON reader on the JDK alone. It reads a slice of a buffer once, into maps, lists, texts, numbers ({@link
@@ -13,6 +14,7 @@
 public final class Json {
     /** Deeper nesting is refused: the threads that read have small stacks. */
     private static final int DEEPEST = 64;
+    private static final Pattern NUMBER = Pattern.compile("-?(0|[1-9][0-9]*)(\\.[0-9]+)?([eE][+-]?[0-9]+)?");
 
     private final byte[] text;
     private final int end;
@@ -208,7 +210,7 @@
             at++;
         }
         String digits = new String(text, from, at - from, StandardCharsets.ISO_8859_1);
-        if (!digits.matches("-?(0|[1-9][0-9]*)(\\.[0-9]+)?([eE][+-]?[0-9]+)?")) {
+        if (!NUMBER.matcher(digits).matches()) {
             throw bad("not a value");
         }
         if (whole && digits.length() <= 18) {
--- a/src/main/java/wallmoor/ogc/Fetch.java
+++ b/src/main/java/wallmoor/ogc/Fetch.java
@@ -135,7 +135,7 @@
         }
         socket.setTcpNoDelay(true);
         socket.connect(address, (int) Math.max(1, Math.min(connectMillis, millisLeft())));
-        return use(new Kept(socket, new HttpIn(socket, HttpIn.MOST_BODY), attempt.worker().address(), 0));
+        return use(new Kept(socket, new HttpIn(socket), attempt.worker().address(), 0));
     }
 
     private long millisLeft() {
--- a/src/main/java/wallmoor/platform/DiscoveryWatch.java
+++ b/src/main/java/wallmoor/platform/DiscoveryWatch.java
@@ -59,7 +59,7 @@
             socket.connect(at, CONNECT_MILLIS);
             HttpOut.get(socket.getOutputStream(), at.getHostString() + ":" + at.getPort(),
                     "/api/targets?stream=1&index=" + revision, "");
-            var in = new HttpIn(socket, HttpIn.MOST_BODY);
+            var in = new HttpIn(socket);
             if (!in.await(HEAD_MILLIS)) {
                 throw new IOException("closed before an answer");
             }
--- a/src/main/java/wallmoor/platform/Platform.java
+++ b/src/main/java/wallmoor/platform/Platform.java
@@ -30,6 +30,7 @@
     private final WorkerLinks workers;
     private final Server server;
     private final DiscoveryWatch watch;
+    private final Consumer<String> log;
     private final List<wallmoor.core.Member> known;
     private volatile boolean ready;
 
@@ -37,6 +38,7 @@
     public Platform(Launch launch, Clock clock, Consumer<String> log) throws IOException, Json.Malformed {
         this.launch = launch;
         this.clock = clock;
+        this.log = log;
         gatherer = new Gatherer(launch.settings(), launch.seed(), clock, log);
         int spare = launch.sockets() / 4;
         long retire = Math.max(launch.connIdleMillis() / 2, launch.connIdleMillis() - 1500);
@@ -67,6 +69,10 @@
         server.leave();
         Thread.sleep(handOverMillis);
         server.finish(finishMillis);
+        int left = gatherer.openQueries();
+        if (left > 0) {
+            log.accept("left with " + left + " queries not answered");
+        }
     }
 
     private void handle(Message request, Server.Exchange exchange)
--- a/src/test/java/wallmoor/net/FeaturesTest.java
+++ b/src/test/java/wallmoor/net/FeaturesTest.java
@@ -335,6 +335,18 @@
         assertEquals(20, seen.stream().distinct().count());
     }
 
+    @Test
+    public void aBodyMayEndWithItsConnection() throws Exception {
+        String page = "{\"type\":\"FeatureCollection\",\"features\":[" + feature("a0-0").replace("3}", "3,\"x\":\""
+                + "x".repeat(30_000) + "\"}") + "]}"; // many times what is read at once
+        start(group(server(t -> "!" + page), "cell: 0"));
+        for (int i = 0; i < 3; i++) {
+            var answer = get("/collections/holds/items");
+            assertEquals(answer.body, 200, answer.status);
+            assertEquals(List.of("a0-0"), ids(answer.body));
+        }
+    }
+
     @Test
     public void aBadFileOfTheFrontNamesItsKey() throws Exception {
         Path config = folder.newFile("bad.yaml").toPath();
--- a/src/test/java/wallmoor/net/StandIn.java
+++ b/src/test/java/wallmoor/net/StandIn.java
@@ -140,7 +140,10 @@
         }
     }
 
-    /** A feature server: {@code answer} turns a target into a body, a status, or null for silence. */
+    /**
+     * A feature server: {@code answer} turns a target into a body, a status, or null for silence. A body after "!" has
+     * no length, and ends where the connection does.
+     */
     static final class FeatureServer extends StandIn {
         final Function<String, String> answer;
 
@@ -157,6 +160,10 @@
                 if (body == null) {
                     continue;
                 }
+                if (body.startsWith("!")) {
+                    peer.getOutputStream().write(("HTTP/1.1 200 OK\r\n\r\n" + body.substring(1)).getBytes());
+                    return;
+                }
                 boolean status = body.matches("[0-9]{3}");
                 byte[] bytes = (status ? "{}" : body).getBytes(StandardCharsets.UTF_8);
                 peer.getOutputStream().write(("HTTP/1.1 " + (status ? body : "200") + " Status\r\nContent-Type: "
