--- a/src/main/java/wallmoor/http/Server.java
+++ b/src/main/java/wallmoor/http/Server.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketException;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
@@ -210,8 +209,8 @@
             boolean there = true;
             try {
                 there = in.awaitBehind();
-            } catch (SocketException e) {
-                there = false;
+            } catch (IOException e) {
+                there = false; // reset: gone as well
             }
             if (!there) {
                 exchange.clientGone();
@@ -279,6 +278,7 @@
                 log.accept(name + " request failed: " + e);
                 failed(500, "internal error");
             } finally {
+                keep &= isAnswered(); // whatever went wrong, the client is not left waiting
                 done.countDown();
             }
         }
@@ -291,6 +291,10 @@
             }
         }
 
+        private synchronized boolean isAnswered() {
+            return answered;
+        }
+
         /** Writes the answer; a second one is a fault of the caller's. */
         public void answer(int status, String headers, byte[] body) throws IOException {
             synchronized (this) {
