Stop refusing a first one-part query as if it stretched like one of many parts

Ruled out: drains, reach, cold guards, the bound on what is held.

Cause: Brain.admit multiplied by STRETCH_START (2.5), which stands for the slowest of many parts, although the query had one. Before it is learnt the stretch is now at most one a part.

--- a/src/main/java/wallmoor/decision/Brain.java
+++ b/src/main/java/wallmoor/decision/Brain.java
@@ -72,7 +72,7 @@
     private static final double SAME_TRY = 0.02;
     /** Work of a part of the second step, in parts of the first. */
     private static final double FOLLOW_WORK = 0.5;
-    /** Query time over the mean of its parts' expected times, before it is learnt. */
+    /** Query time over the mean of its parts' expected times, before it is learnt; at most one a part. */
     private static final double STRETCH_START = 2.5;
     /** One query's bound on that ratio. */
     private static final double STRETCH_MOST = 6;
@@ -413,11 +413,11 @@
         double relative = Math.sqrt(density / meanDensity.or(density));
         meanDensity.add(density);
         q.predicted = mean;
-        double time = mean * stretch.get(q.index).or(STRETCH_START);
+        double time = mean * stretch.get(q.index).or(Math.min(n, STRETCH_START));
         double allowed = ADMIT_AIM * Math.min(ADMIT_MOST, Math.max(ADMIT_LEAST, relative)) * aim(q);
         strain.add(Math.min(2, time / aim(q)));
         if (time > allowed) {
-            stretch.get(q.index).add(STRETCH_START); // a class that is turned away would never learn again
+            stretch.get(q.index).add(Math.min(n, STRETCH_START)); // one turned away would never learn again
         }
         return time <= allowed && !open.full(settings);
     }
