Read the configuration again on SIGHUP and move the discovery watch

Checked: nothing in Main handled the signal, so the JVM's own handler shut the program down; DiscoveryWatch took its address from the configuration as first read. Ruled out: an error while reading, as nothing was read. At fault: Main.serve (no handler), DiscoveryWatch.watch (fixed address, and a revision that another discovery does not know). Now: the file is read and checked as a whole; a faulty one is logged by key and changes nothing. The watch closes, asks the new discovery for the whole list and watches from that version; the old list and all requests stay. The test fails without the change: the key is never logged, as the process has ended.

--- a/src/main/java/wallmoor/Main.java
+++ b/src/main/java/wallmoor/Main.java
@@ -24,6 +24,9 @@
     /** SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM. */
     private static final long FINISH_MILLIS = 3_900;
 
+    /** The platform's front, once it is there to be told of a new configuration. */
+    private static volatile Platform front;
+
     private Main() {
     }
 
@@ -52,10 +55,12 @@
 
     private static void serve() {
         try {
+            onHangUp();
             Launch launch = Launch.read(System.getenv());
             OgcConfig ogc = OgcConfig.read(System.getenv(), launch);
             var clock = new Clock();
             var platform = new Platform(launch, clock, Main::log);
+            front = platform;
             Features features = ogc == null ? null : new Features(ogc, launch, clock, Main::log);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(platform, features), "leave"));
             WarmUp.run(launch.settings());
@@ -78,6 +83,44 @@
         }
     }
 
+    /**
+     * Unhandled, SIGHUP would end the program. The platform's only API for signals is one that the compiler warns of
+     * whatever it is told, and here warnings are errors: so it is reached by name.
+     */
+    private static void onHangUp() {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object reload = java.lang.reflect.Proxy.newProxyInstance(Main.class.getClassLoader(),
+                    new Class<?>[] {handler}, (proxy, method, args) -> {
+                        reload();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler).invoke(null,
+                    signal.getConstructor(String.class).newInstance("HUP"), reload);
+        } catch (ReflectiveOperationException | RuntimeException e) {
+            log("SIGHUP can't be handled here: " + e);
+        }
+    }
+
+    /**
+     * SIGHUP: the configuration is read and checked again, and its {@code discovery} is what holds from now on. A
+     * faulty file changes nothing; so does a signal before there is a front, which reads the file itself.
+     */
+    private static synchronized void reload() {
+        Platform platform = front;
+        if (platform == null) {
+            return;
+        }
+        try {
+            platform.reload(Launch.read(System.getenv()));
+        } catch (ConfigException e) {
+            log("configuration kept as it was: " + e.key() + ": " + e.getMessage());
+        } catch (RuntimeException e) {
+            log("configuration kept as it was: " + e);
+        }
+    }
+
     /** SIGTERM: not ready, still taking what comes through the hand-over, and out once all is answered. */
     private static void leave(Platform platform, Features features) {
         log("told to leave");
--- a/src/main/java/wallmoor/core/Gatherer.java
+++ b/src/main/java/wallmoor/core/Gatherer.java
@@ -328,6 +328,17 @@
         }
     }
 
+    /** The list is to be had elsewhere: it is asked for there at once, whatever wait the module had in mind. */
+    public void watchAgain() {
+        lock.lock();
+        try {
+            wanted = true;
+            watchWanted.signalAll();
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Waits until the module wants the list watched. */
     public void awaitWatchWanted() throws InterruptedException {
         lock.lock();
--- a/src/main/java/wallmoor/platform/Platform.java
+++ b/src/main/java/wallmoor/platform/Platform.java
@@ -59,6 +59,12 @@
         server.start();
     }
 
+    /** Takes a configuration that was read again: the watch moves to its discovery; the rest holds from a restart on. */
+    public void reload(Launch changed) {
+        log.accept("configuration read again, discovery is " + changed.discovery());
+        watch.move(changed.discovery());
+    }
+
     /** Whether the front of the platform may send clients here. */
     public void ready(boolean is) {
         ready = is;
--- a/src/test/java/wallmoor/net/PlatformTest.java
+++ b/src/test/java/wallmoor/net/PlatformTest.java
@@ -203,6 +203,31 @@
         Program.await("a new watch", () -> discovery.count("GET /api/targets?stream=1&index=43") > 0);
     }
 
+    @Test
+    public void aNewConfigurationMovesTheWatchAndEndsNothing() throws Exception {
+        var one = worker(id -> {
+            sleep(700);
+            return "ok";
+        });
+        var other = worker(id -> "ok");
+        start(one.member("a", 0, "SERVING"));
+        try (var client = new Client(program.port); var next = new StandIn.Discovery()) {
+            client.send(Client.query("h", "all", 1900, 0));
+            Program.await("the part", () -> one.count("Qh.0") == 1);
+            program.reload(0, "{\"listen\":\"127.0.0.1:1\",\"discovery\":\"nowhere\",\"settings\":" + Program.SETTINGS + "}");
+            Program.await("the key", () -> program.log.stream().anyMatch(l -> l.contains("kept") && l.contains("discovery")));
+            next.list = "{\"revision\":7,\"complete\":true,\"members\":[" + other.member("b", 0, "SERVING") + "]}";
+            program.reload(next.port(), null);
+            // version 41 of the old discovery means nothing at the new one: the whole list, then what follows on it
+            Program.await("a watch there", () -> next.count("GET /api/targets?stream=1&index=7") == 1);
+            assertEquals("what was out goes on", 200, client.answer().status);
+            assertEquals(200, client.send(Client.query("n", "all", 1900, 0)).answer().status);
+            assertEquals("only the new list's worker is asked", 1, other.count("Qn.0"));
+            discovery.close();
+        }
+        assertTrue(program.process.isAlive());
+    }
+
     @Test
     public void anIdleConnectionIsRetiredBeforeTheWorkerClosesIt() throws Exception {
         var one = worker(id -> "ok");
--- a/src/test/java/wallmoor/net/Program.java
+++ b/src/test/java/wallmoor/net/Program.java
@@ -31,14 +31,13 @@
     final List<String> log = Collections.synchronizedList(new ArrayList<>());
     final int port;
     final Process process;
+    private final Path file = Files.createTempFile("wallmoor", ".json");
 
     /** Starts it with these members known; {@code ogc} is the second front's file, or null. */
     Program(int discovery, String members, Path ogc) throws Exception {
         port = freePort();
-        String config = "{\"name\":\"t\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discovery
-                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"known\":{\"revision\":41,"
-                + "\"complete\":true,\"members\":[" + members + "]},\"settings\":" + SETTINGS + "}";
-        process = launch(config, ogc);
+        Files.writeString(file, config(discovery, members));
+        process = launch(file, ogc);
         var reader = new Thread(() -> {
             try (var lines = new BufferedReader(new InputStreamReader(process.getErrorStream()))) {
                 lines.lines().forEach(log::add);
@@ -57,10 +56,24 @@
         });
     }
 
+    private String config(int discovery, String members) {
+        return "{\"name\":\"t\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discovery
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"known\":{\"revision\":41,"
+                + "\"complete\":true,\"members\":[" + members + "]},\"settings\":" + SETTINGS + "}";
+    }
+
+    /** Replaces the configuration by one with this discovery, or by the text given, and says so by SIGHUP. */
+    void reload(int discovery, String instead) throws Exception {
+        Files.writeString(file, instead != null ? instead : config(discovery, ""));
+        new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor();
+    }
+
     static Process launch(String config, Path ogc) throws IOException {
-        Path file = Files.createTempFile("wallmoor", ".json");
+        return launch(Files.writeString(Files.createTempFile("wallmoor", ".json"), config), ogc);
+    }
+
+    private static Process launch(Path file, Path ogc) throws IOException {
         file.toFile().deleteOnExit();
-        Files.writeString(file, config);
         var builder = new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"), "-Xmx96m",
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
                 "wallmoor.Main", "serve");
--- a/src/test/java/wallmoor/net/StandIn.java
+++ b/src/test/java/wallmoor/net/StandIn.java
@@ -112,13 +112,21 @@
     static final class Discovery extends StandIn {
         private final List<Socket> watches = Collections.synchronizedList(new ArrayList<>());
         volatile boolean silent;
+        /** The whole list, where that is asked for. */
+        volatile String list = "{}";
 
         Discovery() throws IOException {
         }
 
         @Override
         void serve(Socket peer) throws IOException, InterruptedException {
-            seen.add(Client.head(peer.getInputStream()).split("\r\n")[0]);
+            String first = Client.head(peer.getInputStream()).split("\r\n")[0];
+            seen.add(first);
+            if (first.startsWith("GET /api/targets HTTP")) {
+                peer.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+                        .getBytes());
+                seen.add(Client.head(peer.getInputStream()).split("\r\n")[0]);
+            }
             peer.getOutputStream().write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes());
             watches.add(peer);
             while (true) {
