--- a/src/main/java/wallmoor/config/Launch.java
+++ b/src/main/java/wallmoor/config/Launch.java
@@ -20,10 +20,30 @@
  * @param classes  the classes' names, by index
  */
 public record Launch(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, Settings settings,
-        Json.Obj known, List<String> zones, List<String> kinds, List<String> classes, int sockets, int streams,
+        Json.Obj known, List<String> zones, List<String> kinds, List<String> classes, int sockets, int memory, int streams,
         long connIdleMillis, int connectMillis) {
     private static final int DEFAULT_SOCKETS = 1024;
     private static final int FEWEST_SOCKETS = 64;
+    private static final int DEFAULT_MEMORY = 192;
+    private static final int FEWEST_MEMORY = 32;
+    /** What the program holds before its first connection (megabytes). */
+    private static final int OWN_MEMORY = 72;
+    /** Client connections that fit a megabyte, with the two threads that one at work has. */
+    private static final int CLIENTS_PER_MB = 3;
+    private static final int FEWEST_CLIENTS = 32;
+
+    /**
+     * Client connections at most. Of the descriptors five in eight are for clients, two for workers and one is kept
+     * for discovery and the program's own files. Honest clients hold a third for requests; the rest is for rude ones.
+     */
+    public int mostClients() {
+        return Math.min(sockets * 5 / 8, Math.max(FEWEST_CLIENTS, (memory - OWN_MEMORY) * CLIENTS_PER_MB));
+    }
+
+    /** Connections to workers at most. */
+    public int mostWorkerConnections() {
+        return sockets / 4;
+    }
 
     /** Reads the configuration that the environment names. */
     public static Launch read(Map<String, String> env) {
@@ -62,6 +82,7 @@
         }
         Json.Obj limits = json.get("limits") instanceof Json.Obj o ? o : new Json.Obj();
         int sockets = (int) bounded("limits.sockets", limits.number("sockets", DEFAULT_SOCKETS), FEWEST_SOCKETS);
+        int memory = (int) bounded("limits.memory_mb", limits.number("memory_mb", DEFAULT_MEMORY), FEWEST_MEMORY);
         int streams = (int) bounded("settings.Limits.StreamsPerConn", decimal(flat, "Limits.StreamsPerConn", 100), 1);
         long idle = (long) bounded("settings.Limits.ConnIdle", decimal(flat, "Limits.ConnIdle", 15e6), 1) / 1000;
         long connect = settings.limits().connectTimeout() / 1000;
@@ -69,7 +90,7 @@
                 address("listen", textOr(json, "listen", env.get("ROUTER_LISTEN"))),
                 address("discovery", textOr(json, "discovery", env.get("ROUTER_DISCOVERY"))),
                 seed(json.get("seed")), settings, json.get("known") instanceof Json.Obj o ? o : null,
-                names(nested, "Dcs"), names(nested, "Kinds"), classNames(nested), sockets, streams, idle,
+                names(nested, "Dcs"), names(nested, "Kinds"), classNames(nested), sockets, memory, streams, idle,
                 connect > 0 ? (int) connect : 1000);
     }
 
--- a/src/main/java/wallmoor/core/Gatherer.java
+++ b/src/main/java/wallmoor/core/Gatherer.java
@@ -356,6 +356,7 @@
             var named = new HashSet<String>();
             members.forEach(m -> named.add(m.id()));
             workers.values().stream().filter(w -> !named.contains(w.id())).forEach(Worker::leave);
+            workers.keySet().retainAll(named); // what is still out at one that is gone holds on to it
         }
         var entries = new ArrayList<LeafEntry>();
         for (Member m : members) {
@@ -369,6 +370,7 @@
                     m.upSince() <= 0 ? RouterApi.ABSENT : m.upSince()));
         }
         brain.onList(now, kind, entries);
+        members.stream().filter(m -> m.state() == Member.State.GONE).forEach(m -> workers.remove(m.id()));
     }
 
     // ---- rounds -------------------------------------------------------------------------------------------
--- a/src/main/java/wallmoor/decision/Fleet.java
+++ b/src/main/java/wallmoor/decision/Fleet.java
@@ -36,6 +36,11 @@
     /** Takes in an entry of a list; a leaf new here is made by {@code maker}. */
     Leaf enter(LeafEntry e, Function<String, Leaf> maker) {
         Leaf leaf = byId.computeIfAbsent(e.leaf(), maker);
+        if (e.state() == LeafState.REMOVED) {
+            leaf.state = e.state();
+            forget(leaf);
+            return leaf;
+        }
         byTag.putIfAbsent(PeerMessage.tagOf(e.leaf()), leaf);
         leaf.zone = e.zone();
         leaf.cell = e.cell();
@@ -48,7 +53,17 @@
     void keepOnly(List<LeafEntry> whole) {
         Set<String> named = new HashSet<>();
         whole.forEach(e -> named.add(e.leaf()));
-        byId.values().stream().filter(l -> !named.contains(l.id)).forEach(l -> l.state = LeafState.REMOVED);
+        List<Leaf> gone = byId.values().stream().filter(l -> !named.contains(l.id)).toList();
+        gone.forEach(l -> l.state = LeafState.REMOVED);
+        gone.forEach(this::forget);
+    }
+
+    /** Drops a leaf that is gone once nothing is out there: new ones come all day, and none comes back as it was. */
+    void forget(Leaf leaf) {
+        if (leaf.out.isEmpty() && byId.remove(leaf.id, leaf)) {
+            byTag.remove(PeerMessage.tagOf(leaf.id), leaf);
+            holders.clear();
+        }
     }
 
     /** The leaves that hold a shard. A list may be wrong: one in a cell that does not exist holds nothing. */
--- a/src/main/java/wallmoor/decision/Open.java
+++ b/src/main/java/wallmoor/decision/Open.java
@@ -49,6 +49,11 @@
         return held > settings.limits().maxOpen();
     }
 
+    /** Whether this query is still open. */
+    boolean has(Query q) {
+        return queries.get(q.arrived.id()) == q;
+    }
+
     /** The open query of this id, or null. */
     Query query(String id) {
         return queries.get(id);
--- a/src/main/java/wallmoor/http/HttpIn.java
+++ b/src/main/java/wallmoor/http/HttpIn.java
@@ -258,7 +258,7 @@
         for (String line = line(left, 431); !line.isEmpty(); line = line(left, 431)) {
             left -= line.length() + 2;
             int colon = line.indexOf(':');
-            if (colon < 1 || line.charAt(0) <= ' ' || line.charAt(colon - 1) <= ' ') {
+            if (colon < 1 || !plain(line, colon)) {
                 throw new HttpProblem(400, "malformed header");
             }
             if (headers.size() >= 2 * MOST_HEADERS || left <= 0) {
@@ -270,6 +270,17 @@
         return headers;
     }
 
+    /** Names have only visible characters, values no control characters: others read such a head in another way. */
+    private static boolean plain(String line, int colon) {
+        for (int i = 0; i < line.length(); i++) {
+            char c = line.charAt(i);
+            if (c < ' ' && c != '\t' || c == 127 || i < colon && (c <= ' ' || c > 126)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** A line up to its end, of at most so many bytes; 0 for as long as a head may be. */
     private String line(int most, int tooLong) throws IOException, HttpProblem {
         int longest = most == 0 ? MOST_HEAD : most;
--- a/src/main/java/wallmoor/http/Server.java
+++ b/src/main/java/wallmoor/http/Server.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 
 /**
@@ -28,6 +29,22 @@
     private static final int BIND_TRIES = 20;
     /** A request that began to come in must be whole within this time. */
     private static final int REQUEST_MILLIS = 5_000;
+    /** ... and a connection's first one within this time of connecting: rude clients hold back the rest for ever. */
+    private static final long FIRST_MILLIS = 2_700;
+    /** One that has said nothing for so long has nothing to say. */
+    private static final long SILENT_MILLIS = 2_200;
+    /** Clients that asked once may keep their connections for good: with many open, so long between requests ... */
+    private static final long IDLE_MILLIS = 2_100;
+    /** ... and with few, so long. */
+    private static final long IDLE_AT_EASE_MILLIS = 15_000;
+    /** At the cap a silent connection makes room after so long: an honest client's request is there by then. */
+    private static final long MAKE_ROOM_MILLIS = 400;
+    /** After an error, what still comes is read and thrown away until so long after connecting. */
+    private static final long LINGER_MILLIS = 5_200;
+    /** ... or after its answer, where the request came whole. */
+    private static final long GOODBYE_MILLIS = 500;
+    private static final int SINK = 8 * 1024;
+    private static final int TIDY_EVERY_MILLIS = 100;
     /** A client that takes nothing of its answer for so long is given up. */
     private static final long WRITE_MILLIS = 5_000;
 
@@ -85,22 +102,28 @@
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
         socket.close();
         while (!connections.isEmpty() && System.nanoTime() < until) {
-            connections.stream().filter(Connection::idle).forEach(Connection::close);
+            connections.forEach(c -> c.closeIf(Phase.IDLE, 0));
+            connections.forEach(c -> c.closeIf(Phase.SILENT, MAKE_ROOM_MILLIS));
+            connections.forEach(c -> c.closeIf(Phase.LEAVING, GOODBYE_MILLIS));
             Thread.sleep(20);
         }
     }
 
     private void accept() {
         while (!socket.isClosed()) {
+            Connection connection = null;
             try {
-                Socket client = socket.accept();
-                var connection = new Connection(client);
-                if (connections.size() >= mostConnections) {
+                connection = new Connection(socket.accept());
+                while (connections.size() >= mostConnections && !socket.isClosed()) {
                     makeRoom();
                 }
                 connections.add(connection);
                 Threads.start(name + "-client-" + numbers.incrementAndGet(), connection::run);
             } catch (IOException | OutOfMemoryError e) {
+                if (connection != null) {
+                    connections.remove(connection);
+                    connection.close();
+                }
                 if (!socket.isClosed()) {
                     log.accept(name + " cannot accept: " + e);
                     pause(5);
@@ -110,15 +133,18 @@
     }
 
     /**
-     * At the cap the connection idle for longest is closed; a client whose request crosses that sends it again. With
-     * none idle the accepting thread waits, and connects queue in the kernel.
+     * At the cap a connection without an open request is closed: one that is on its way out, or silent, or idle for
+     * longest. With none such the accepting thread waits, and connects queue in the kernel.
      */
     private void makeRoom() {
-        while (connections.size() >= mostConnections && !socket.isClosed()) {
-            connections.stream().filter(Connection::idle)
-                    .min((a, b) -> Long.compare(a.idleSince, b.idleSince)).ifPresent(Connection::close);
-            pause(5);
-        }
+        boolean made = oldest(Phase.LEAVING, GOODBYE_MILLIS) || oldest(Phase.SILENT, MAKE_ROOM_MILLIS)
+                || oldest(Phase.IDLE, 0);
+        pause(made ? 1 : 5);
+    }
+
+    private boolean oldest(Phase phase, long millis) {
+        return connections.stream().filter(c -> c.phase.get() == phase)
+                .min((a, b) -> Long.compare(a.since, b.since)).map(c -> c.closeIf(phase, millis)).orElse(false);
     }
 
     private static void pause(long millis) {
@@ -129,36 +155,45 @@
         }
     }
 
+    /** Closes what has had its time: nothing here waits for a client for ever. */
     private void watch() {
         while (true) {
+            boolean crowded = connections.size() > mostConnections / 2;
             for (Connection c : connections) {
-                long since = c.writingSince;
-                if (since != 0 && System.nanoTime() - since > TimeUnit.MILLISECONDS.toNanos(WRITE_MILLIS)) {
+                long writing = c.writingSince;
+                if (writing != 0 && System.nanoTime() - writing > TimeUnit.MILLISECONDS.toNanos(WRITE_MILLIS)) {
                     c.close();
                 }
+                c.closeIf(Phase.LEAVING, LINGER_MILLIS);
+                c.closeIf(Phase.SILENT, SILENT_MILLIS);
+                c.closeIf(Phase.IDLE, crowded ? IDLE_MILLIS : IDLE_AT_EASE_MILLIS);
             }
             try {
-                Thread.sleep(500);
+                Thread.sleep(TIDY_EVERY_MILLIS);
             } catch (InterruptedException e) {
                 return;
             }
         }
     }
 
+    /**
+     * What a connection is at. Only one that is silent, idle or leaving may be closed to make room; that it is so
+     * and its close are one step, so that no request that is being read is ever cut off.
+     */
+    private enum Phase { SILENT, BUSY, IDLE, LEAVING, CLOSED }
+
     private final class Connection {
         private final Socket client;
+        private final long openedAt = System.nanoTime();
+        private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.SILENT);
+        private volatile long since = openedAt;
         private volatile long writingSince;
-        private volatile long idleSince = System.nanoTime();
-        private volatile boolean busy;
+        private boolean first = true;
 
         Connection(Socket client) {
             this.client = client;
         }
 
-        boolean idle() {
-            return !busy;
-        }
-
         void close() {
             try {
                 client.close();
@@ -167,20 +202,46 @@
             }
         }
 
+        /** Closes it if it has been at this for so long. */
+        boolean closeIf(Phase at, long millis) {
+            boolean close = phase.get() == at && System.nanoTime() - since >= TimeUnit.MILLISECONDS.toNanos(millis)
+                    && phase.compareAndSet(at, Phase.CLOSED);
+            if (close) {
+                close();
+            }
+            return close;
+        }
+
+        /** Goes on to another phase, unless it has been closed. */
+        private boolean become(Phase next) {
+            Phase now = phase.get();
+            since = System.nanoTime();
+            return now != Phase.CLOSED && phase.compareAndSet(now, next);
+        }
+
+        /** The answer has gone out; with no other to follow the client is told, as its thread may wait for it. */
+        private void answered(boolean keep) {
+            become(keep ? Phase.IDLE : Phase.LEAVING);
+            if (!keep) {
+                try {
+                    client.shutdownOutput();
+                } catch (IOException e) {
+                    // it has gone already
+                }
+            }
+        }
+
         /** An exception here ends this connection and no other. */
         void run() {
             try (client) {
                 client.setTcpNoDelay(true);
                 var in = new HttpIn(client);
                 boolean keep = true;
-                while (keep && in.await(0)) {
-                    busy = true;
+                while (keep && in.await(0) && become(Phase.BUSY)) {
                     keep = serve(in);
-                    idleSince = System.nanoTime();
-                    busy = false;
                 }
                 if (!keep) {
-                    linger(in);
+                    linger();
                 }
             } catch (IOException e) {
                 // the client has gone
@@ -193,10 +254,18 @@
             }
         }
 
+        /** How long the request at hand may take to come in. */
+        private int patience() {
+            long sinceOpen = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - openedAt);
+            int patience = first ? (int) Math.max(100, FIRST_MILLIS - sinceOpen) : REQUEST_MILLIS;
+            first = false;
+            return patience;
+        }
+
         private boolean serve(HttpIn in) throws IOException, InterruptedException {
             Exchange exchange;
             try {
-                Message request = in.request(REQUEST_MILLIS);
+                Message request = in.request(patience());
                 exchange = new Exchange(this, request);
                 if (leaving) {
                     exchange.lastOne();
@@ -219,17 +288,19 @@
             return there && exchange.keep;
         }
 
-        /** Closing on bytes not yet read would reset the connection and could take the answer with it. */
-        private void linger(HttpIn in) throws IOException {
-            client.shutdownOutput();
-            client.setSoTimeout(200);
-            byte[] sink = new byte[512];
-            try {
-                for (int n = 0; n < 200 && client.getInputStream().read(sink) >= 0; n++) {
-                    // thrown away
-                }
-            } catch (java.net.SocketTimeoutException e) {
-                // long enough
+        /**
+         * Closing on bytes not yet read would reset the connection and could take the answer with it: all that comes
+         * is read, however much the client set out to send.
+         */
+        private void linger() throws IOException {
+            answered(false);
+            long until = Math.max(openedAt + TimeUnit.MILLISECONDS.toNanos(LINGER_MILLIS),
+                    System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GOODBYE_MILLIS));
+            byte[] sink = new byte[SINK];
+            int read = 0;
+            while (read >= 0 && System.nanoTime() < until) {
+                client.setSoTimeout((int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(until - System.nanoTime())));
+                read = client.getInputStream().read(sink); // a time-out ends it, as does the client's own end
             }
         }
     }
@@ -263,7 +334,7 @@
                 work.execute(() -> work(request));
             } catch (RejectedExecutionException | OutOfMemoryError e) {
                 answer(503, "Retry-After: 1\r\n", plain("too much at work"));
-                done.countDown();
+                finished();
             }
         }
 
@@ -279,10 +350,15 @@
                 failed(500, "internal error");
             } finally {
                 keep &= isAnswered(); // whatever went wrong, the client is not left waiting
-                done.countDown();
+                finished();
             }
         }
 
+        private void finished() {
+            connection.answered(keep);
+            done.countDown();
+        }
+
         private void failed(int status, String why) {
             try {
                 answer(status, "", plain(why));
--- a/src/main/java/wallmoor/platform/Platform.java
+++ b/src/main/java/wallmoor/platform/Platform.java
@@ -23,6 +23,8 @@
     /** Time kept back from the client's deadline for the answer's way and a busy machine (microseconds). */
     private static final long FOR_THE_WIRE = 10_000;
     private static final int MOST_PARTS = 1000;
+    /** Weights add up to 1 but for their rounding. */
+    private static final double WEIGHT_SLACK = 0.01;
 
     private final Launch launch;
     private final Clock clock;
@@ -40,15 +42,14 @@
         this.clock = clock;
         this.log = log;
         gatherer = new Gatherer(launch.settings(), launch.seed(), clock, log);
-        int spare = launch.sockets() / 4;
         long retire = Math.max(launch.connIdleMillis() / 2, launch.connIdleMillis() - 1500);
         workers = new WorkerLinks(gatherer, new WorkerLinks.Limits(launch.streams(), launch.connectMillis(),
-                TimeUnit.MILLISECONDS.toNanos(retire), spare));
+                TimeUnit.MILLISECONDS.toNanos(retire), launch.mostWorkerConnections()));
         Members list = launch.known() == null ? new Members(0, true, List.of())
                 : Members.of(launch.known(), launch);
         known = list.members();
         watch = new DiscoveryWatch(launch, list.revision(), gatherer, log);
-        server = new Server("api", launch.listen(), Math.min(384, spare + spare / 2), 256, this::handle, log);
+        server = new Server("api", launch.listen(), launch.mostClients(), launch.mostClients(), this::handle, log);
     }
 
     /** Begins to serve: the list as last held at once, news of it as discovery has them. */
@@ -114,7 +115,9 @@
         if (q == null || queryClass < 0 || id == null || !id.matches("[!-~]{1,64}")) {
             throw new HttpProblem(400, "X-Request-Id, X-Class or q is absent or malformed");
         }
-        long deadline = clock.at(request.begunAt()) + deadline(request.header("X-Deadline")) - FOR_THE_WIRE;
+        long giveUp = launch.settings().classes().get(queryClass).giveUp();
+        long wait = Math.min(deadline(request.header("X-Deadline")), giveUp);
+        long deadline = clock.at(request.begunAt()) + wait - FOR_THE_WIRE;
         Query query = gatherer.open(id, queryClass, deadline, "1".equals(request.header("X-Retry")), asks(body),
                 q.getBytes(java.nio.charset.StandardCharsets.UTF_8));
         if (query == null) {
@@ -159,22 +162,32 @@
             throw new HttpProblem(400, "X-Deadline is absent or malformed");
         }
         double number = Double.parseDouble(value.substring(0, value.length() - 1));
-        return (long) (value.endsWith("m") ? 1000 * number : number);
+        long micros = (long) (value.endsWith("m") ? 1000 * number : number);
+        if (micros <= 0) {
+            throw new HttpProblem(400, "X-Deadline is over");
+        }
+        return micros;
     }
 
     private List<Query.Ask> asks(Json.Obj body) throws HttpProblem {
         List<?> shards = body.list("shards");
         var asks = new ArrayList<Query.Ask>();
         var seen = new HashSet<Integer>();
+        double sum = 0;
         for (Object entry : shards == null ? List.of() : shards) {
             if (!(entry instanceof Json.Obj part) || !(part.get("shard") instanceof Long shard) || shard < 0
                     || shard >= launch.settings().layout().shards() || !seen.add(shard.intValue())) {
                 throw new HttpProblem(400, "shards holds what is no part");
             }
-            asks.add(new Query.Ask(shard.intValue(), part.number("weight", 0), (long) part.number("cost", -1)));
+            double weight = part.number("weight", -1);
+            if (!(weight > 0 && weight <= 1 + WEIGHT_SLACK) || asks.size() == MOST_PARTS) {
+                throw new HttpProblem(400, "shards holds a weight that is none, or too many parts");
+            }
+            sum += weight;
+            asks.add(new Query.Ask(shard.intValue(), weight, (long) part.number("cost", -1)));
         }
-        if (asks.isEmpty() || asks.size() > MOST_PARTS) {
-            throw new HttpProblem(400, "shards is absent, empty or too long");
+        if (asks.isEmpty() || Math.abs(sum - 1) > WEIGHT_SLACK) {
+            throw new HttpProblem(400, "shards is absent or empty, or its weights don't add up to 1");
         }
         return asks;
     }
--- a/src/main/java/wallmoor/platform/WorkerLinks.java
+++ b/src/main/java/wallmoor/platform/WorkerLinks.java
@@ -112,7 +112,9 @@
             while (true) {
                 Thread.sleep(250);
                 List<WorkerConnection> all = new ArrayList<>();
-                synchronized (this) {
+                synchronized (this) { // new workers come all day: nothing is kept of those that went
+                    links.values().forEach(l -> l.removeIf(WorkerConnection::isClosed));
+                    links.values().removeIf(List::isEmpty);
                     links.values().forEach(all::addAll);
                 }
                 all.forEach(WorkerConnection::closeIfStuck);
