End a connection on an answer to a stranger or a frame that never ends

No value was cut short, which rules out checks on values. At fault: WorkerConnection.answer took any unknown id for a late answer. Now one that was neither called off nor answered here is spoilt: the parts out are reported once and the connection closes. A frame begun must go on.

--- a/src/main/java/wallmoor/platform/WorkerConnection.java
+++ b/src/main/java/wallmoor/platform/WorkerConnection.java
@@ -33,6 +33,9 @@
     /** A connection this long in one write has a peer that no longer reads. */
     private static final long STUCK_NANOS = TimeUnit.MILLISECONDS.toNanos(1500);
 
+    /** A frame that began to come in must go on coming. */
+    private static final int FRAME_MILLIS = 1000;
+
     private enum State { QUEUED, WRITING, WRITTEN }
 
     private static final class Entry {
@@ -64,6 +67,8 @@
      * connection: a late answer to the first, taken for one to the second, would let a third out beside it.
      */
     private final Set<String> unheard = new LinkedHashSet<>();
+    /** Parts answered here last: a second copy of a good answer takes nothing from the connection. */
+    private final Set<String> heard = new LinkedHashSet<>();
     private final Socket socket;
     private boolean closed;
     private boolean retired;
@@ -322,10 +327,7 @@
         try {
             boolean taken = out.remove(entry.attempt.partId(), entry);
             if (taken) {
-                unheard.add(entry.attempt.partId());
-                if (unheard.size() > MOST_UNHEARD) {
-                    unheard.remove(unheard.iterator().next()); // long past its query's time
-                }
+                remember(unheard, entry.attempt.partId());
             }
             return taken;
         } finally {
@@ -333,6 +335,13 @@
         }
     }
 
+    private static void remember(Set<String> parts, String id) {
+        parts.add(id);
+        if (parts.size() > MOST_UNHEARD) {
+            parts.remove(parts.iterator().next()); // long past its query's time
+        }
+    }
+
     private void reportAll() {
         var ended = new LinkedHashMap<Attempt, Outcome>();
         lock.lock();
@@ -377,6 +386,7 @@
                 if (wanted > buffer.length) {
                     buffer = Arrays.copyOf(buffer, wanted);
                 }
+                socket.setSoTimeout(end > 0 ? FRAME_MILLIS : 0); // one whose length is a lie may never end
                 int n = in.read(buffer, end, buffer.length - end);
                 if (n < 0) {
                     return;
@@ -416,7 +426,7 @@
             return false;
         }
         String[] line = new String(b, from, lineEnd - from, StandardCharsets.ISO_8859_1).split(" ", -1);
-        if (line.length < 2) {
+        if (line.length < 4) {
             return false;
         }
         Outcome outcome = switch (line[1]) {
@@ -432,12 +442,15 @@
         lock.lock();
         try {
             usedAt = System.nanoTime();
-            unheard.remove(line[0]);
+            boolean late = unheard.remove(line[0]); // the answer to an attempt called off crossed its end
             entry = out.get(line[0]);
             if (entry != null && entry.state != State.QUEUED) {
                 out.remove(line[0]);
+                remember(heard, line[0]);
+            } else if (late || heard.contains(line[0])) {
+                entry = null;
             } else {
-                entry = null; // the answer to an attempt called off crossed its end
+                return false; // an id that nobody asked for: what it was meant to answer will never come
             }
         } finally {
             lock.unlock();
--- a/src/test/java/wallmoor/net/RoughTest.java
+++ b/src/test/java/wallmoor/net/RoughTest.java
@@ -103,6 +103,33 @@
         assertEquals(200, client().send(good).answer().status);
     }
 
+    @Test
+    public void anAnswerToAStrangerEndsTheConnectionAndTheParts() throws Exception {
+        // what it was meant to answer never came: the part waited for all its time on a connection of no further use
+        var worker = worker(id -> "stranger");
+        start(64, worker.member("a", 0, "SERVING"));
+        assertEquals("failed at once, not late", 502, Client.post(program.port, "s", "once", 1900, 0).status);
+        Program.await("the end of the connection", () -> worker.count("closed") == 1);
+    }
+
+    @Test
+    public void aFrameThatNeverEndsEndsTheConnection() throws Exception {
+        var worker = worker(id -> "short");
+        start(64, worker.member("a", 0, "SERVING"));
+        assertEquals("failed before its time is up", 502, Client.post(program.port, "f", "once", 1900, 0).status);
+        Program.await("the end of the connection", () -> worker.count("closed") == 1);
+    }
+
+    @Test
+    public void aSecondCopyOfAGoodAnswerTakesNothingFromTheConnection() throws Exception {
+        var worker = worker(id -> "twice");
+        start(64, worker.member("a", 0, "SERVING"));
+        for (int i = 0; i < 10; i++) {
+            assertEquals(200, Client.post(program.port, "t" + i, "once", 1900, 0, 2).status);
+        }
+        assertEquals(1, worker.count("open"));
+    }
+
     private static boolean ended(Client client) throws IOException {
         try {
             return client.socket.getInputStream().read() < 0;
--- a/src/test/java/wallmoor/net/StandIn.java
+++ b/src/test/java/wallmoor/net/StandIn.java
@@ -96,14 +96,26 @@
                 if ("break".equals(end)) {
                     return;
                 }
-                byte[] reply = ("garbage".equals(end) ? "?" : "A" + id + " " + end + " 7 -\nv" + id)
+                if (end == null) {
+                    continue;
+                }
+                String asked = id;
+                if ("stranger".equals(end)) { // spoilt: the right form, but another's id
+                    id = "not-" + id;
+                    end = "ok";
+                }
+                byte[] reply = ("garbage".equals(end) ? "?" : "A" + id + " " + end.replace("twice", "ok") + " 7 -\nv" + asked)
                         .getBytes(StandardCharsets.ISO_8859_1);
-                if (end != null) {
-                    var out = new java.io.ByteArrayOutputStream();
+                var out = new java.io.ByteArrayOutputStream();
+                if ("short".equals(end)) { // its length says more than comes
+                    out.write(new byte[] {0, 0, 9, 9, 'A'});
+                    end = "none";
+                }
+                for (int copies = end.equals("twice") ? 2 : end.equals("none") ? 0 : 1; copies > 0; copies--) {
                     new java.io.DataOutputStream(out).writeInt(reply.length);
                     out.write(reply);
-                    peer.getOutputStream().write(out.toByteArray());
                 }
+                peer.getOutputStream().write(out.toByteArray());
             }
         }
     }
