Leave connections to workers that fell silent alone, and count with loops

At fault: WorkerConnection.offer and cancel. Now a connection on which nothing came since its oldest part was written, for a fifth of the shortest aim, gets no further calls where another can be opened, and is closed once what is out on it has ended. A frame begun must end within four times that. Decisions: sums over parts, leaves and attempts that ran as streams at each event are loops; no decision changes.

--- a/src/main/java/wallmoor/decision/Brain.java
+++ b/src/main/java/wallmoor/decision/Brain.java
@@ -583,7 +583,9 @@
     private double rank(Leaf leaf, Part p) {
         double rank = latency(leaf, p.query.index) * (leaf.partsAt(now) + 1) / warmth(leaf);
         rank *= 1 + FAIL_WEIGHT * leaf.fails.share(now);
-        rank *= Math.pow(1 + FAIL_WEIGHT, Math.min(TELLERS, leaf.toldIll(now)));
+        if (!leaf.told.isEmpty()) {
+            rank *= Math.pow(1 + FAIL_WEIGHT, Math.min(TELLERS, leaf.toldIll(now)));
+        }
         return leaf.zone == settings.zone() ? rank : rank * (1 + CROSS_WEIGHT * settings.costs().crossZone());
     }
 
@@ -716,9 +718,17 @@
     }
 
     private boolean allSlow() {
-        var sound = fleet.leaves().stream().filter(l -> !l.ill).flatMap(l -> l.out.stream()).toList();
-        long late = sound.stream().filter(a -> a.late).count();
-        return late > ALL_SLOW * sound.size() && late > 2 || slowConnects.or(0) > SLOW_CONNECTS;
+        int sound = 0;
+        int late = 0;
+        for (Leaf l : fleet.leaves()) {
+            if (!l.ill) {
+                sound += l.out.size();
+                for (Attempt a : l.out) {
+                    late += a.late ? 1 : 0;
+                }
+            }
+        }
+        return late > ALL_SLOW * sound && late > 2 || slowConnects.or(0) > SLOW_CONNECTS;
     }
 
     // ---- endings ------------------------------------------------------------------------------------------
--- a/src/main/java/wallmoor/decision/Open.java
+++ b/src/main/java/wallmoor/decision/Open.java
@@ -45,7 +45,10 @@
 
     /** Whether more queries and parts are held than the settings allow. */
     boolean full(RouterApi.Settings settings) {
-        int held = queries.size() + queries.values().stream().mapToInt(q -> q.parts.size()).sum();
+        int held = queries.size();
+        for (Query q : queries.values()) {
+            held += q.parts.size();
+        }
         return held > settings.limits().maxOpen();
     }
 
--- a/src/main/java/wallmoor/decision/State.java
+++ b/src/main/java/wallmoor/decision/State.java
@@ -66,12 +66,13 @@
 
         /** Parts out here: our own and what other roots have told lately. */
         double partsAt(long now) {
-            return out.size() + told.values().stream().filter(t -> t.until() > now).mapToInt(Told::parts).sum();
+            return told.isEmpty() ? out.size()
+                    : out.size() + told.values().stream().filter(t -> t.until() > now).mapToInt(Told::parts).sum();
         }
 
         /** How many roots told that it is ill since it last answered us. */
         long toldIll(long now) {
-            return told.values().stream().filter(t -> t.ill() && t.until() > now && t.at() > heardAt).count();
+            return told.isEmpty() ? 0 : told.values().stream().filter(t -> t.ill() && t.until() > now && t.at() > heardAt).count();
         }
 
         /** When an answer of this leaf was last heard, by this root or by one that told of it. */
@@ -148,7 +149,12 @@
         }
 
         boolean hasTimely() {
-            return out.values().stream().anyMatch(a -> !a.late && !a.cancelled);
+            for (Attempt a : out.values()) {
+                if (!a.late && !a.cancelled) {
+                    return true;
+                }
+            }
+            return false;
         }
     }
 
@@ -183,7 +189,11 @@
         }
 
         double weightIn() {
-            return parts.stream().filter(p -> p.ok).mapToDouble(p -> p.weight).sum();
+            double in = 0; // asked at each event of the query: a loop costs a tenth of a stream
+            for (Part p : parts) {
+                in += p.ok ? p.weight : 0;
+            }
+            return in;
         }
 
         /** What a client's next try of the same query shares with this one. */
--- a/src/main/java/wallmoor/platform/Platform.java
+++ b/src/main/java/wallmoor/platform/Platform.java
@@ -26,6 +26,8 @@
     /** Time kept back from the client's deadline for the answer's way and a busy machine (microseconds). */
     private static final long FOR_THE_WIRE = 10_000;
     private static final int MOST_PARTS = 1000;
+    /** A connection to a worker is silent after this share of the shortest aim: the module calls a part late then. */
+    private static final int SILENT_SHARE = 5;
     /** Weights add up to 1 but for their rounding. */
     private static final double WEIGHT_SLACK = 0.01;
 
@@ -55,8 +57,10 @@
         this.log = log;
         gatherer = new Gatherer(launch.settings(), launch.seed(), clock, log);
         long retire = Math.max(launch.connIdleMillis() / 2, launch.connIdleMillis() - 1500);
+        long silent = launch.settings().classes().stream().mapToLong(c -> c.aim()).min().orElse(1_000_000) * 1000
+                / SILENT_SHARE;
         workers = new WorkerLinks(gatherer, new WorkerLinks.Limits(launch.streams(), launch.connectMillis(),
-                TimeUnit.MILLISECONDS.toNanos(retire), launch.mostWorkerConnections(),
+                TimeUnit.MILLISECONDS.toNanos(retire), silent, launch.mostWorkerConnections(),
                 others == null ? () -> new Socket(Proxy.NO_PROXY) : others)); // no settings of proxies are read
         Members list = launch.known() == null ? new Members(0, true, List.of())
                 : Members.of(launch.known(), launch);
--- a/src/main/java/wallmoor/platform/WorkerConnection.java
+++ b/src/main/java/wallmoor/platform/WorkerConnection.java
@@ -33,8 +33,7 @@
     /** A connection this long in one write has a peer that no longer reads. */
     private static final long STUCK_NANOS = TimeUnit.MILLISECONDS.toNanos(1500);
 
-    /** A frame that began to come in must go on coming. */
-    private static final int FRAME_MILLIS = 1000;
+    private static final int FRAME_MILLIS = 50;
 
     private enum State { QUEUED, WRITING, WRITTEN }
 
@@ -42,6 +41,7 @@
         final Attempt attempt;
         State state = State.QUEUED;
         Outcome calledOff;
+        long writtenAt;
 
         Entry(Attempt attempt) {
             this.attempt = attempt;
@@ -70,8 +70,12 @@
     /** Parts answered here last: a second copy of a good answer takes nothing from the connection. */
     private final Set<String> heard = new LinkedHashSet<>();
     private final Socket socket;
+    /** A frame that began to come in must go on coming. */
+    private final int frameMillis;
     private boolean closed;
     private boolean retired;
+    /** When a whole frame came last. */
+    private long heardAt;
     private long usedAt = System.nanoTime();
     private volatile long writingSince;
 
@@ -81,6 +85,7 @@
         this.name = name;
         this.at = address;
         this.socket = limits.sockets().get();
+        this.frameMillis = (int) Math.max(FRAME_MILLIS, TimeUnit.NANOSECONDS.toMillis(4 * limits.silentNanos()));
         this.address = Launch.address("host_port", address);
     }
 
@@ -104,10 +109,22 @@
         }
     }
 
-    /** Takes a call if there is room and the connection is not about to be retired. */
-    boolean offer(Step.Send send) {
+    /**
+     * Whether nothing has come since an attempt was written, for longer than sound workers take. A connection may fall
+     * silent alone: what is sent after it is lost as well, and one that is kept takes the trials of a sound worker too.
+     */
+    private boolean silent(Entry entry) {
+        return entry.state == State.WRITTEN && heardAt - entry.writtenAt < 0
+                && System.nanoTime() - entry.writtenAt > limits.silentNanos();
+    }
+
+    /** Takes a call if there is room and the connection is not about to be retired; one that is silent if need be. */
+    boolean offer(Step.Send send, boolean evenSilent) {
         lock.lock();
         try {
+            if (!evenSilent && !out.isEmpty() && silent(out.values().iterator().next())) {
+                return false;
+            }
             if (closed || retired || out.size() + send.attempts().size() > limits.streams() || stuck()
                     || out.isEmpty() && System.nanoTime() - usedAt > limits.retireNanos()) {
                 return false;
@@ -138,6 +155,7 @@
                 out.remove(attempt.partId());
             } else {
                 entry.calledOff = as;
+                retired |= silent(entry);
                 frames.add(new Frame(null, entry));
                 work.signal();
                 return true;
@@ -315,6 +333,7 @@
                 Entry entry = out.get(a.partId());
                 if (entry != null && entry.attempt == a) {
                     entry.state = state;
+                    entry.writtenAt = System.nanoTime();
                 }
             }
         } finally {
@@ -386,7 +405,7 @@
                 if (wanted > buffer.length) {
                     buffer = Arrays.copyOf(buffer, wanted);
                 }
-                socket.setSoTimeout(end > 0 ? FRAME_MILLIS : 0); // one whose length is a lie may never end
+                socket.setSoTimeout(end > 0 ? frameMillis : 0); // one whose length is a lie may never end
                 int n = in.read(buffer, end, buffer.length - end);
                 if (n < 0) {
                     return;
@@ -442,6 +461,7 @@
         lock.lock();
         try {
             usedAt = System.nanoTime();
+            heardAt = usedAt;
             boolean late = unheard.remove(line[0]); // the answer to an attempt called off crossed its end
             entry = out.get(line[0]);
             if (entry != null && entry.state != State.QUEUED) {
--- a/src/main/java/wallmoor/platform/WorkerLinks.java
+++ b/src/main/java/wallmoor/platform/WorkerLinks.java
@@ -21,7 +21,8 @@
     private static final int MOST_CONNECTIONS = 4;
 
     /** What the settings say of connections. */
-    record Limits(int streams, int connectMillis, long retireNanos, int mostConnections, Supplier<Socket> sockets) {
+    record Limits(int streams, int connectMillis, long retireNanos, long silentNanos, int mostConnections,
+            Supplier<Socket> sockets) {
     }
 
     private final Gatherer gatherer;
@@ -56,14 +57,14 @@
             }
             connections.removeIf(WorkerConnection::isClosed);
             for (WorkerConnection c : connections) {
-                if (c.offer(send)) {
+                if (c.offer(send, false)) {
                     return;
                 }
             }
             if (connections.size() < MOST_CONNECTIONS && open < limits.mostConnections()) {
                 try {
                     fresh = new WorkerConnection(gatherer, limits, "worker-" + numbers.incrementAndGet(), address);
-                    if (fresh.offer(send)) {
+                    if (fresh.offer(send, false)) {
                         connections.add(fresh);
                         open++;
                     } else {
@@ -73,6 +74,9 @@
                     fresh = null; // discovery gave no address that can be connected to
                 }
             }
+            if (fresh == null && connections.stream().anyMatch(c -> c.offer(send, true))) {
+                return;
+            }
         }
         if (fresh == null || !start(fresh)) {
             var ended = new HashMap<Attempt, Outcome>();
--- a/src/test/java/wallmoor/decision/ServiceTest.java
+++ b/src/test/java/wallmoor/decision/ServiceTest.java
@@ -96,6 +96,23 @@
         assertTrue("sent " + sent, sent >= 4);
     }
 
+    @Test
+    public void whatTouchesNoQueryIsLeftToTheSweep() {
+        // each event had all open queries decided: the more a busy root held, the further it fell behind
+        var site = new Rig.Site();
+        site.layout = new RouterApi.Layout(1, 1, 1);
+        var rig = new Rig(site).leaves(1);
+        rig.query(0, 0);
+        rig.ends("q0/0", 0, "leaf0", RouterApi.Outcome.CONNECT_FAILED, 1);
+        assertEquals("out of reach for now", 1, rig.said("assign").size());
+        rig.brain.onList(rig.now, ListKind.CHANGES, List.of(
+                new RouterApi.LeafEntry("other", 0, 0, 0, LeafState.UP, 1, RouterApi.ABSENT)));
+        rig.brain.onEndOfRound(rig.now);
+        assertEquals(1, rig.said("assign").size());
+        rig.pass(20 * MS);
+        assertEquals("sent by the sweep", 2, rig.said("assign").size());
+    }
+
     @Test
     public void whatIsGoneIsForgotten() {
         // on a day in service new workers replace the old ones all the time
--- a/src/test/java/wallmoor/net/RoughTest.java
+++ b/src/test/java/wallmoor/net/RoughTest.java
@@ -120,6 +120,20 @@
         Program.await("the end of the connection", () -> worker.count("closed") == 1);
     }
 
+    @Test
+    public void aConnectionThatFellSilentAloneIsNotUsedAgain() throws Exception {
+        // the worker is sound, but all that went over this connection was lost, trials too
+        var worker = worker(id -> id.startsWith("z") ? null : "ok");
+        start(64, worker.member("a", 0, "SERVING"));
+        var lost = client().send(Client.query("z1", "once", 1900, 0));
+        Program.await("the part", () -> worker.count("Qz1.0") == 1);
+        Thread.sleep(300); // longer than a fifth of the aim
+        assertEquals(200, Client.post(program.port, "n", "all", 900, 2).status);
+        assertEquals("over another connection", 2, worker.count("open"));
+        assertEquals(504, lost.answer().status);
+        Program.await("its end", () -> worker.count("closed") >= 1);
+    }
+
     @Test
     public void aSecondCopyOfAGoodAnswerTakesNothingFromTheConnection() throws Exception {
         var worker = worker(id -> "twice");
