Set the silences apart in the test of a part that goes back to its worker

Checked by printing the program's log and what both workers saw: 'ill: silence' twice in one millisecond.

--- a/src/test/java/wallmoor/net/PlatformTest.java
+++ b/src/test/java/wallmoor/net/PlatformTest.java
@@ -141,6 +141,7 @@
         var client = new Client(program.port).send(Client.query("b", "all", 1900, 0));
         open.add(client);
         Program.await("the part", () -> calls.get() == 1);
+        Thread.sleep(150); // the others' silence is to be noticed after that of the first, in another sweep
         for (int i = 0; i < 4; i++) { // others stay out there: the connection is not idle
             open.add(new Client(program.port).send(Client.query("z" + i, "once", 1900, 0)));
         }
