Close resting connections before clients that keep them have none left to ask with

Checked: a print of why the module refuses (nothing in those seconds) and one of what connections are at and what they were answered: 200 alone, with 128 idle connections, a third of 384 descriptors, which is what clients may hold. So clients had none left; ruled out: admission, the pool of threads, malformed requests (none came). At the cap 884 resting connections in 2 s were closed for silent ones that were still young. At fault: Server.watch kept idle connections 15 s up to half the cap; makeRoom took resting ones of any age. Now: 2.05 s from an eighth of the cap on, 0.7 s from a quarter; at the cap also a first request that hangs.

--- a/src/main/java/wallmoor/http/Server.java
+++ b/src/main/java/wallmoor/http/Server.java
@@ -33,12 +33,18 @@
     private static final long FIRST_MILLIS = 2_700;
     /** One that has said nothing for so long has nothing to say. */
     private static final long SILENT_MILLIS = 2_200;
-    /** Clients that asked once may keep their connections for good: with many open, so long between requests ... */
-    private static final long IDLE_MILLIS = 2_100;
+    /**
+     * Clients that asked once may keep their connections for good, and then have none left to ask again: so long between
+     * requests, with more than a few connections open; less where they hold much of what they may ...
+     */
+    private static final long IDLE_MILLIS = 2_050;
+    private static final long IDLE_PRESSED_MILLIS = 700;
     /** ... and with few, so long. */
     private static final long IDLE_AT_EASE_MILLIS = 15_000;
     /** At the cap a silent connection makes room after so long: an honest client's request is there by then. */
     private static final long MAKE_ROOM_MILLIS = 400;
+    /** ... and one whose first request is still not whole after so long; both are floods of rude clients' then. */
+    private static final long HALF_MILLIS = 700;
     /** After an error, what still comes is read and thrown away until so long after connecting. */
     private static final long LINGER_MILLIS = 5_200;
     /** ... or after its answer, where the request came whole. */
@@ -143,11 +149,12 @@
 
     /**
      * At the cap a connection without an open request is closed: one that is on its way out, or silent, or idle for
-     * longest. With none such the accepting thread waits, and connects queue in the kernel.
+     * long, or stuck in its first request. With none such the accepting thread waits, and connects queue in the kernel:
+     * a flood of silent connections must not take those of honest clients, who rest only between two requests.
      */
     private void makeRoom() {
         boolean made = oldest(Phase.LEAVING, GOODBYE_MILLIS) || oldest(Phase.SILENT, MAKE_ROOM_MILLIS)
-                || oldest(Phase.IDLE, 0);
+                || oldest(Phase.IDLE, IDLE_PRESSED_MILLIS) || oldest(Phase.FIRST, HALF_MILLIS);
         pause(made ? 1 : 5);
     }
 
@@ -167,7 +174,9 @@
     /** Closes what has had its time: nothing here waits for a client for ever. */
     private void watch() {
         while (true) {
-            boolean crowded = connections.size() > mostConnections / 2;
+            int held = connections.size();
+            long idle = held <= mostConnections / 8 ? IDLE_AT_EASE_MILLIS
+                    : held <= mostConnections / 4 ? IDLE_MILLIS : IDLE_PRESSED_MILLIS;
             for (Connection c : connections) {
                 long writing = c.writingSince;
                 if (writing != 0 && System.nanoTime() - writing > TimeUnit.MILLISECONDS.toNanos(WRITE_MILLIS)) {
@@ -175,7 +184,7 @@
                 }
                 c.closeIf(Phase.LEAVING, LINGER_MILLIS);
                 c.closeIf(Phase.SILENT, SILENT_MILLIS);
-                c.closeIf(Phase.IDLE, crowded ? IDLE_MILLIS : IDLE_AT_EASE_MILLIS);
+                c.closeIf(Phase.IDLE, idle);
             }
             try {
                 Thread.sleep(TIDY_EVERY_MILLIS);
@@ -189,7 +198,7 @@
      * What a connection is at. Only one that is silent, idle or leaving may be closed to make room; that it is so
      * and its close are one step, so that no request that is being read is ever cut off.
      */
-    private enum Phase { SILENT, BUSY, IDLE, LEAVING, CLOSED }
+    private enum Phase { SILENT, FIRST, BUSY, IDLE, LEAVING, CLOSED }
 
     private final class Connection {
         private final Socket client;
@@ -246,7 +255,7 @@
                 client.setTcpNoDelay(true);
                 var in = new HttpIn(client);
                 boolean keep = true;
-                while (keep && in.await(0) && become(Phase.BUSY)) {
+                while (keep && in.await(0) && become(first ? Phase.FIRST : Phase.BUSY)) {
                     keep = serve(in);
                 }
                 if (!keep) {
@@ -275,6 +284,9 @@
             Exchange exchange;
             try {
                 Message request = in.request(patience());
+                if (!become(Phase.BUSY)) {
+                    return true; // closed to make room, with nothing done for it
+                }
                 exchange = new Exchange(this, request);
                 if (leaving) {
                     exchange.lastOne();
--- a/src/test/java/wallmoor/net/RoughTest.java
+++ b/src/test/java/wallmoor/net/RoughTest.java
@@ -53,6 +53,21 @@
         assertEquals(200, Client.post(program.port, "last", "all", 1900, 0).status);
     }
 
+    @Test
+    public void connectionsThatRestAreClosedBeforeClientsHaveNoneLeft() throws Exception {
+        // clients hold a third of the descriptors at most; kept for good, idle ones left them none to ask again with
+        start(64, worker(id -> "ok").member("a", 0, "SERVING"));
+        var kept = new ArrayList<Client>();
+        for (int i = 0; i < 19; i++) { // fewer than half the cap: nothing is pressed for room
+            kept.add(client());
+            assertEquals(200, kept.get(i).send(Client.query("k" + i, "all", 1900, 0)).answer().status);
+        }
+        for (Client c : kept.subList(0, 10)) {
+            c.socket.setSoTimeout(6_000);
+            assertTrue(ended(c));
+        }
+    }
+
     @Test
     public void silentAndHalfRequestsAreEndedAndServedOnesAreNot() throws Exception {
         start(64, worker(id -> "ok").member("a", 0, "SERVING"));
