--- /dev/null
+++ b/src/bench/java/wallmoor/sources/RefreshTime.java
@@ -0,0 +1,165 @@
+package wallmoor.sources;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+import wallmoor.config.SettingsReader;
+import wallmoor.core.Clock;
+import wallmoor.core.Gatherer;
+import wallmoor.core.Member;
+import wallmoor.core.Outcome;
+import wallmoor.core.Query;
+import wallmoor.core.Step;
+import wallmoor.core.Workers;
+import wallmoor.membership.Entry;
+import wallmoor.membership.News;
+import wallmoor.membership.Policy;
+
+/**
+ * What queries feel while 5,000 nodes are refreshed over and over, each refresh changing all of them: without a refresh,
+ * with changes handed on in pieces as {@link Membership} does, and with all in one hold of the gatherer's lock. Prints
+ * the distributions; in one run, so that they may be compared.
+ */
+public final class RefreshTime {
+    private static final int NODES = 5_000;
+    private static final int CELLS = 1_250;
+    private static final long MILLIS = 8_000;
+    private static final String SETTINGS = "Classes.count=1 Classes.0.Aim=1000000 Classes.0.GiveUp=2000000"
+            + " Classes.0.Repeat=free Classes.0.Worth=1 Classes.0.LateWorth=0.1 Domain.NeedByClass=1"
+            + " Domain.FloorByClass=1 Domain.Reach=1 Domain.Sets=" + CELLS + " Domain.Slabs=" + CELLS
+            + " Discovery=subscribe Instances=1 Position=0 Round=5000 Limits.MaxAttempts=4 Limits.MaxOpen=2000"
+            + " Limits.Cancelling=true Limits.RetryAfter=true Limits.MaxRetryAfter=2000000 Contract.DrainGrace=2000000"
+            + " Contract.ColdShare=0.16 Contract.Cold=18000000 Contract.FallMultiple=2 Contract.OverloadFor=2000000";
+
+    private RefreshTime() {
+    }
+
+    /** A source that tells when it is told to. */
+    private static final class Script implements Source {
+        private final List<Entry> first;
+
+        Script(List<Entry> first) {
+            this.first = first;
+        }
+
+        @Override
+        public String name() {
+            return "dns x";
+        }
+
+        @Override
+        public List<Entry> known() {
+            return first;
+        }
+
+        @Override
+        public void start(Consumer<News> to) {
+            // news is given by hand
+        }
+    }
+
+    /** Runs the three. */
+    public static void main(String[] args) throws Exception {
+        ((ch.qos.logback.classic.Logger) org.slf4j.LoggerFactory.getLogger("ROOT")).setLevel(ch.qos.logback.classic.Level.WARN);
+        System.out.println("microseconds           queries      p50      p99    p99.9      max   refreshes  lock held most");
+        for (int round = 0; round < 2; round++) { // the first is for the compiler
+            for (String how : new String[] {"none", "in pieces", "at once"}) {
+                run(how, round == 1);
+            }
+        }
+    }
+
+    private static List<Entry> entries(int turn) {
+        var all = new ArrayList<Entry>();
+        for (int i = 0; i < NODES; i++) {
+            all.add(new Entry("s-" + i, "10.0." + i / 250 + "." + i % 250 + ":3000", i % 2, 0, i % CELLS,
+                    Member.State.SERVING, 1 + turn % 2, 0, 0));
+        }
+        return all;
+    }
+
+    private static void run(String how, boolean told) throws Exception {
+        var pairs = new HashMap<String, String>();
+        for (String pair : SETTINGS.split(" ")) {
+            pairs.put(pair.split("=")[0], pair.split("=")[1]);
+        }
+        var clock = new Clock();
+        var gatherer = new Gatherer(new SettingsReader(pairs).settings(), 7, clock, line -> { });
+        var policy = Policy.of(List.of(new Policy.Source("dns x", false, 0, 1, 20_000)));
+        var membership = new Membership(policy, clock, gatherer, List.of(new Script(entries(0))));
+        membership.start();
+        var over = new AtomicBoolean();
+        Thread timers = new Thread(gatherer::runTimers);
+        timers.setDaemon(true);
+        timers.start();
+        var queries = new Histogram(TimeUnit.SECONDS.toNanos(10), 3);
+        var held = new Histogram(TimeUnit.SECONDS.toNanos(10), 3);
+        Thread client = new Thread(() -> ask(gatherer, over, queries));
+        Thread probe = new Thread(() -> { // whoever asks for the lock waits as long as it is held
+            while (!over.get()) {
+                long begun = System.nanoTime();
+                gatherer.openQueries();
+                held.recordValue(System.nanoTime() - begun);
+                java.util.concurrent.locks.LockSupport.parkNanos(200_000);
+            }
+        });
+        client.start();
+        probe.start();
+        int refreshes = 0;
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MILLIS);
+        while (System.nanoTime() < until) {
+            refreshes++;
+            if (how.equals("in pieces")) {
+                membership.take(new News.Whole("dns x", "" + refreshes, entries(refreshes), false));
+            } else if (how.equals("at once")) {
+                int turn = refreshes;
+                gatherer.joined(entries(turn).stream().map(e -> new Member(e.id(), e.address(), e.zone(), e.kind(),
+                        e.cell(), e.state(), 1 + turn % 2, 0)).toList());
+            }
+            Thread.sleep(100);
+        }
+        over.set(true);
+        client.join();
+        probe.join();
+        timers.interrupt();
+        if (told) {
+            System.out.printf("refreshed %-10s %9d %8.0f %8.0f %8.0f %8.0f   %9s %15.0f%n", how, queries.getTotalCount(),
+                    micros(queries, 50), micros(queries, 99), micros(queries, 99.9), micros(queries, 100),
+                    how.equals("none") ? "-" : "" + refreshes, micros(held, 100));
+        }
+    }
+
+    private static double micros(Histogram h, double percentile) {
+        return h.getValueAtPercentile(percentile) / 1e3;
+    }
+
+    private static void ask(Gatherer gatherer, AtomicBoolean over, Histogram to) {
+        var workers = new Workers() {
+            @Override
+            public void send(Step.Send send) {
+                send.attempts().forEach(a -> gatherer.report(a, Outcome.SERVED, new byte[1]));
+            }
+
+            @Override
+            public void cancel(Step.Cancel cancel) {
+                gatherer.report(cancel.attempt(), cancel.as(), null);
+            }
+        };
+        try {
+            for (int i = 0; !over.get(); i++) {
+                long begun = System.nanoTime();
+                Query q = gatherer.open("q" + i, 0, gatherer.now() + 1_500_000, false,
+                        List.of(new Query.Ask(i % CELLS, 0.5, -1), new Query.Ask((i + 1) % CELLS, 0.5, -1)), null);
+                gatherer.run(q, workers);
+                to.recordValue(System.nanoTime() - begun);
+                Thread.sleep(1);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/main/java/wallmoor/Main.java
+++ b/src/main/java/wallmoor/Main.java
@@ -6,33 +6,26 @@
 import java.io.OutputStreamWriter;
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
+import org.slf4j.LoggerFactory;
 import wallmoor.adapter.Adapter;
 import wallmoor.adapter.WireException;
+import wallmoor.cli.Commands;
 import wallmoor.config.ConfigException;
 import wallmoor.config.Launch;
-import wallmoor.config.OgcConfig;
-import wallmoor.core.Clock;
-import wallmoor.decision.RouterApi.QueryClass;
-import wallmoor.decision.RouterApi.Settings;
+import wallmoor.config.Operator;
 import wallmoor.json.Json;
-import wallmoor.ogc.Features;
-import wallmoor.platform.Platform;
-import wallmoor.platform.Rehearsal;
+import wallmoor.log.Logging;
+import wallmoor.service.Rehearsal;
+import wallmoor.service.Service;
 
 /**
- * The command line: {@code serve} is a real gatherer, {@code drill} speaks the simulator's wire on standard streams, and
- * {@code rehearse} loads what serving needs and ends, for the archive of classes that the build makes.
+ * The way in: {@code serve} is a real gatherer, {@code drill} speaks the simulator's wire on standard streams, and
+ * {@code rehearse} loads what serving needs and ends, for the archive of classes that the build makes. These three alone
+ * are taken here, as the platform starts them on part of a core; all else is the command line's.
  */
 public final class Main {
-    /** SIGKILL comes so long and the longest time a client waits after SIGTERM, no sooner; more than 3 s count as 3. */
-    private static final long HAND_OVER_MILLIS = 700;
-    private static final long LONGEST_MILLIS = 3_000;
-    /** Kept back of that time: for the end of the program itself, and for the answers to what comes last. */
-    private static final long LAST_MILLIS = 150;
-    private static final long LEAST_TO_ANSWER_MILLIS = 400;
-
-    /** The platform's front, once it is there to be told of a new configuration. */
-    private static volatile Platform front;
+    /** The gatherer, once it is there to be told of a new configuration. */
+    private static volatile Service service;
 
     private Main() {
     }
@@ -46,8 +39,7 @@
         } else if (args.length == 1 && args[0].equals("rehearse")) {
             rehearse();
         } else {
-            System.err.println("usage: java -jar wallmoor.jar serve|drill|rehearse");
-            System.exit(2);
+            System.exit(Commands.run(args));
         }
     }
 
@@ -66,29 +58,23 @@
     private static void rehearse() {
         onHangUp();
         Launch launch = Launch.read(System.getenv());
-        OgcConfig.read(System.getenv(), launch);
+        Operator operator = Operator.read(System.getenv(), launch);
         Rehearsal.run(launch);
-        log("rehearsed");
+        Logging.apply(operator.logging());
+        LoggerFactory.getLogger(Service.class).info("rehearsed for {}", launch.name());
     }
 
     private static void serve() {
         try {
             onHangUp();
             Launch launch = Launch.read(System.getenv());
-            OgcConfig ogc = OgcConfig.read(System.getenv(), launch);
+            Operator operator = Operator.read(System.getenv(), launch);
             Rehearsal.run(launch); // before the address is listened on: what connects meanwhile would have to wait
-            var clock = new Clock();
-            var platform = new Platform(launch, clock, Main::log);
-            front = platform;
-            Features features = ogc == null ? null : new Features(ogc, launch, clock, Main::log);
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(platform, features, launch.settings()), "leave"));
-            platform.start();
-            if (features != null) {
-                features.start();
-                log("features on " + ogc.listen());
-            }
-            platform.ready(true);
-            log("serving as " + launch.name() + " on " + launch.listen());
+            Logging.apply(operator.logging());
+            var made = new Service(launch, operator);
+            service = made;
+            Runtime.getRuntime().addShutdownHook(new Thread(made::leave, "leave"));
+            made.start();
             Thread.currentThread().join();
         } catch (ConfigException | Json.Malformed e) {
             System.err.println("wallmoor: " + e.getMessage());
@@ -103,7 +89,8 @@
 
     /**
      * Unhandled, SIGHUP would end the program. The platform's only API for signals is one that the compiler warns of
-     * whatever it is told, and here warnings are errors: so it is reached by name.
+     * whatever it is told, and here warnings are errors: so it is reached by name. A signal before there is a gatherer
+     * changes nothing: that one reads the files itself.
      */
     private static void onHangUp() {
         try {
@@ -111,75 +98,16 @@
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             Object reload = java.lang.reflect.Proxy.newProxyInstance(Main.class.getClassLoader(),
                     new Class<?>[] {handler}, (proxy, method, args) -> {
-                        reload();
+                        Service told = service;
+                        if (told != null) {
+                            told.reload();
+                        }
                         return null;
                     });
             signal.getMethod("handle", signal, handler).invoke(null,
                     signal.getConstructor(String.class).newInstance("HUP"), reload);
         } catch (ReflectiveOperationException | RuntimeException e) {
-            log("SIGHUP can't be handled here: " + e);
-        }
-    }
-
-    /**
-     * SIGHUP: the configuration is read and checked again, and its {@code discovery} is what holds from now on. A
-     * faulty file changes nothing; so does a signal before there is a front, which reads the file itself.
-     */
-    private static synchronized void reload() {
-        Platform platform = front;
-        if (platform == null) {
-            return;
+            LoggerFactory.getLogger(Main.class).warn("SIGHUP can't be handled here: {}", e.toString());
         }
-        try {
-            platform.reload(Launch.read(System.getenv()));
-        } catch (ConfigException e) {
-            log("configuration kept as it was: " + e.key() + ": " + e.getMessage());
-        } catch (RuntimeException e) {
-            log("configuration kept as it was: " + e);
-        }
-    }
-
-    /**
-     * SIGTERM: not ready, and out once all is answered. Clients go on using the connections they have, and the
-     * gatherer that is to take over may itself not be there yet: so these are served for as long as what comes last
-     * can still be answered before SIGKILL.
-     */
-    private static void leave(Platform platform, Features features, Settings settings) {
-        platform.ready(false);
-        log("told to leave");
-        long longest = settings.classes().stream().mapToLong(QueryClass::giveUp).max().orElse(0) / 1000;
-        long aim = settings.classes().stream().mapToLong(QueryClass::aim).max().orElse(0) / 1000;
-        long end = Math.min(LONGEST_MILLIS, longest) + HAND_OVER_MILLIS - LAST_MILLIS;
-        long handOver = Math.max(HAND_OVER_MILLIS, end - Math.max(LEAST_TO_ANSWER_MILLIS, aim));
-        var second = new Thread(() -> {
-            if (features != null) {
-                leave(features::leave, HAND_OVER_MILLIS, LONGEST_MILLIS + HAND_OVER_MILLIS);
-            }
-        }, "leave-ogc");
-        second.start();
-        leave(platform::leave, handOver, end - handOver);
-        try {
-            second.join(LONGEST_MILLIS + 2 * HAND_OVER_MILLIS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        log("left");
-    }
-
-    /** A front's way out. */
-    private interface Leaving {
-        void leave(long handOverMillis, long finishMillis) throws IOException, InterruptedException;
-    }
-
-    private static void leave(Leaving front, long handOverMillis, long finishMillis) {
-        try {
-            front.leave(handOverMillis, finishMillis);
-        } catch (IOException | InterruptedException e) {
-            log("left in haste: " + e);
-        }
-    }
-
-    private static void log(String line) {
-        System.err.println(java.time.Instant.now() + " " + line);
     }
 }
--- /dev/null
+++ b/src/main/java/wallmoor/cli/MembersCommand.java
@@ -0,0 +1,65 @@
+package wallmoor.cli;
+
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import wallmoor.config.ConfigException;
+import wallmoor.config.Launch;
+import wallmoor.config.Operator;
+import wallmoor.json.Json;
+import wallmoor.membership.Roster;
+import wallmoor.service.Look;
+
+/** Shows which nodes a gatherer started now would hold, and why. */
+@Command(name = "members", mixinStandardHelpOptions = true,
+        description = "Ask all sources as a gatherer would, and print the nodes with the cause of each one's state.",
+        footer = {"No gatherer is asked and nothing is served: these are the nodes as a fresh one would see them.",
+            "Exits 0, 2 on a faulty configuration, 4 when a source could not be heard (the rest is printed)."})
+final class MembersCommand implements Callable<Integer> {
+    private static final int NO_ANSWER = 4;
+
+    @Mixin
+    private Files files;
+
+    @Option(names = "--wait", paramLabel = "SECONDS", defaultValue = "10",
+            description = "For how long to wait until every source was heard (default ${DEFAULT-VALUE}).")
+    private int seconds;
+
+    @Option(names = "--json", description = "Print JSON objects, one a line.")
+    private boolean json;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        try {
+            Launch launch = files.launch();
+            Operator operator = files.operator(launch);
+            Look look = Look.at(launch, operator, 1000L * Math.max(1, Math.min(600, seconds)));
+            look.nodes().forEach(this::print);
+            look.sources().forEach(s -> System.err.println(s.source() + ": " + s.nodes() + " nodes, "
+                    + (s.doubted() > 0 ? s.doubted() + " of them doubted, " : "") + s.state()));
+            return look.heardAll() ? 0 : NO_ANSWER;
+        } catch (ConfigException | Json.Malformed e) {
+            System.err.println("wallmoor: " + e.getMessage());
+            return Commands.USAGE;
+        }
+    }
+
+    private void print(Roster.Standing s) {
+        var m = s.member();
+        if (!json) {
+            System.out.println(m.id() + " " + m.address() + " cell " + m.cell() + " size " + m.size() + " " + m.state()
+                    + ": " + s.cause());
+            return;
+        }
+        var line = new StringBuilder("{\"node\":");
+        Json.quote(line, m.id());
+        line.append(",\"address\":");
+        Json.quote(line, m.address());
+        line.append(",\"cell\":").append(m.cell()).append(",\"size\":").append(m.size()).append(",\"state\":");
+        Json.quote(line, m.state().toString());
+        line.append(",\"cause\":");
+        Json.quote(line, String.valueOf(s.cause()));
+        System.out.println(line.append('}'));
+    }
+}
--- /dev/null
+++ b/src/main/java/wallmoor/cli/Resolve.java
@@ -0,0 +1,104 @@
+package wallmoor.cli;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+import wallmoor.config.ConfigException;
+import wallmoor.config.Launch;
+import wallmoor.config.Operator;
+import wallmoor.dns.Lookup;
+import wallmoor.dns.Services;
+import wallmoor.dns.Target;
+import wallmoor.json.Json;
+
+/** Looks a service up as the gatherer would. */
+@Command(name = "resolve", mixinStandardHelpOptions = true,
+        description = "Look up a service's SRV records, with the addresses of its targets.",
+        footer = {"Prints a line a node: target, address and port, priority, weight, lifetime in seconds.",
+            "Exits 0 found, 2 bad usage, 3 no such records (NXDOMAIN, NODATA, or the one target \".\"),",
+            "4 no useful answer (failing, silent, truncated beyond mending, malformed, a CNAME loop)."})
+final class Resolve implements Callable<Integer> {
+    private static final int NO_RECORDS = 3;
+    private static final int NO_ANSWER = 4;
+    /** With the last try's own time, under the ten seconds that are promised. */
+    private static final long MILLIS = 6_000;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Mixin
+    private Files files;
+
+    @Option(names = "--server", paramLabel = "HOST:PORT",
+            description = "A DNS server, by address; may stand several times. Else those of the operators' file.")
+    private List<String> servers = new ArrayList<>();
+
+    @Option(names = "--json", description = "Print JSON objects, one a line.")
+    private boolean json;
+
+    @Parameters(paramLabel = "NAME", description = "The service, such as _calendar._tcp.example.")
+    private String name;
+
+    @Override
+    public Integer call() {
+        Services.Result result = Lookup.find(addresses(), name, MILLIS);
+        if (result instanceof Services.Result.Offered offered) {
+            offered.faults().forEach(f -> System.err.println("wallmoor: " + f));
+            if (offered.targets().isEmpty()) {
+                System.err.println("wallmoor: " + name + ": no target can be used");
+                return NO_ANSWER;
+            }
+            offered.targets().stream().sorted(Comparator.comparingInt(Target::priority)
+                    .thenComparingInt(t -> -t.weight()).thenComparing(Target::name)).forEach(this::print);
+            return 0;
+        }
+        if (result instanceof Services.Result.Failed failed) {
+            System.err.println("wallmoor: " + name + ": " + failed.why());
+            return NO_ANSWER;
+        }
+        System.err.println("wallmoor: " + name + ": "
+                + (result instanceof Services.Result.None none ? none.why() : "the service is not offered"));
+        return NO_RECORDS;
+    }
+
+    private List<InetSocketAddress> addresses() {
+        try {
+            if (!servers.isEmpty()) {
+                return servers.stream().map(s -> Launch.address("--server", s)).toList();
+            }
+            Operator operator = files.operator(files.launch());
+            if (operator.dns() != null) {
+                return operator.dns().servers();
+            }
+        } catch (ConfigException e) {
+            throw new ParameterException(spec.commandLine(), e.getMessage());
+        }
+        throw new ParameterException(spec.commandLine(), "no --server, and no operators' file that names one");
+    }
+
+    private void print(Target t) {
+        long ttl = t.ttl() / 1000;
+        for (String address : t.addresses()) {
+            if (!json) {
+                System.out.println(t.name() + " " + Target.hostPort(address, t.port()) + " " + t.priority() + " "
+                        + t.weight() + " " + ttl);
+                continue;
+            }
+            var line = new StringBuilder("{\"target\":");
+            Json.quote(line, t.name());
+            line.append(",\"address\":");
+            Json.quote(line, address);
+            System.out.println(line.append(",\"port\":").append(t.port()).append(",\"priority\":").append(t.priority())
+                    .append(",\"weight\":").append(t.weight()).append(",\"ttl\":").append(ttl).append('}'));
+        }
+    }
+}
--- a/src/main/java/wallmoor/config/OgcConfig.java
+++ b/src/main/java/wallmoor/config/OgcConfig.java
@@ -1,22 +1,15 @@
 package wallmoor.config;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.yaml.snakeyaml.LoaderOptions;
-import org.yaml.snakeyaml.Yaml;
-import org.yaml.snakeyaml.constructor.SafeConstructor;
-import org.yaml.snakeyaml.error.YAMLException;
 import wallmoor.decision.RouterApi.Layout;
 
 /**
- * The second front's file: where it listens, its collections and its inventory. {@code WALLMOOR_OGC} names it; without
- * it {@code deploy/ogc.yaml} is read where there is one.
+ * The second front's section of the operators' file: where it listens, its collections and its inventory.
  *
  * @param base      what links begin with, or null for the host that the client named
  * @param inventory the file of feature servers
@@ -24,7 +17,8 @@
 public record OgcConfig(InetSocketAddress listen, String base, String title, Path inventory, Layout layout,
         Map<String, Collection> collections) {
     private static final String SHARD = "{shard}";
-    private static final String DEFAULT_FILE = "deploy/ogc.yaml";
+    /** Shards and cells at most: one that is larger is a slip of the pen. */
+    private static final int MOST_SHARDS = 1_000_000;
 
     /**
      * A collection of features, spread over shards.
@@ -41,120 +35,66 @@
         }
     }
 
-    /** Reads the file, or gives null where the front is off. */
-    public static OgcConfig read(Map<String, String> env, Launch launch) {
-        String named = env.get("WALLMOOR_OGC");
-        Path file = Path.of(named != null ? named : DEFAULT_FILE);
-        if (named == null && !Files.exists(file)) {
-            return null;
-        }
-        Map<?, ?> root = map("", yaml(file));
-        if (!flag(root, "enabled")) {
-            return null;
-        }
+    /** The section {@code ogc}, or null where it is off; faults are noted in it. */
+    static OgcConfig of(Section at, Path folder, Launch launch) {
+        boolean on = at.flag("enabled", true);
         Layout site = launch.settings().layout();
-        var layout = new Layout(whole(root, "shards", site.shards(), 1), whole(root, "cells", site.cells(), 1),
-                whole(root, "reach", site.reach(), 1));
+        var layout = new Layout(at.whole("shards", site.shards(), 1, MOST_SHARDS),
+                at.whole("cells", site.cells(), 1, MOST_SHARDS), at.whole("reach", site.reach(), 1, MOST_SHARDS));
         if (layout.reach() > layout.cells()) {
-            throw new ConfigException("reach", "reach must be at most cells");
+            at.fault("reach", "must be at most cells");
         }
         var collections = new LinkedHashMap<String, Collection>();
-        map("collections", root.get("collections")).forEach((id, value) ->
-                collections.put("" + id, collection("" + id, map("collections." + id, value), layout, launch)));
+        Section all = at.section("collections");
+        for (String id : all.keys()) {
+            if (!id.matches("[A-Za-z0-9_-]{1,64}")) {
+                all.fault(id, "is no name for a path");
+            }
+            collections.put(id, collection(id, all.section(id), layout, launch));
+        }
         if (collections.isEmpty()) {
-            throw new ConfigException("collections", "collections is empty");
+            at.fault("collections", "is absent or empty");
         }
-        Path folder = file.toAbsolutePath().getParent();
-        String base = text(root, "", "base", null);
+        String base = at.text("base", null);
         if (base != null && !base.matches("https?://[!-~]+[^/]")) {
-            throw new ConfigException("base", "base is no URL without a slash at its end: " + base);
+            at.fault("base", "is no URL without a slash at its end: " + base);
         }
-        return new OgcConfig(Launch.address("listen", text(root, "", "listen", null)), base,
-                text(root, "", "title", launch.name()), folder.resolve(required(root, "", "inventory")), layout,
-                collections);
-    }
-
-    /** A YAML file as plain maps, lists and values; no type is made that the file names. */
-    public static Object yaml(Path file) {
+        InetSocketAddress listen = null;
         try {
-            var options = new LoaderOptions();
-            options.setAllowDuplicateKeys(false);
-            return new Yaml(new SafeConstructor(options)).load(Files.readString(file));
-        } catch (IOException e) {
-            throw new ConfigException(file.toString(), file + " can't be read: " + e);
-        } catch (YAMLException e) {
-            throw new ConfigException(file.toString(),
-                    file + " is no YAML: " + e.getMessage().replaceAll("\\s+", " "));
-        }
+            listen = Launch.address("listen", at.required("listen"));
+        } catch (ConfigException e) {
+            at.fault("listen", "is not ADDRESS:PORT: " + at.text("listen", ""));
+        }
+        var config = new OgcConfig(listen, base, at.text("title", launch.name()),
+                folder.resolve(at.required("inventory")), layout, collections);
+        at.end();
+        return on ? config : null;
     }
 
-    private static Collection collection(String id, Map<?, ?> at, Layout layout, Launch launch) {
-        String path = "collections." + id + ".";
-        if (!id.matches("[A-Za-z0-9_-]{1,64}")) {
-            throw new ConfigException("collections." + id, "collections." + id + " is no name for a path");
-        }
-        String className = required(at, path, "class");
-        int queryClass = launch.classes().indexOf(className);
+    private static Collection collection(String id, Section at, Layout layout, Launch launch) {
+        int queryClass = launch.classes().indexOf(at.required("class"));
         if (queryClass < 0) {
-            throw new ConfigException(path + "class", path + "class is not in the settings: " + className);
+            at.fault("class", "is not in the settings: " + at.text("class", ""));
         }
         var shards = new ArrayList<Integer>();
-        if (!(at.get("shards") instanceof List<?> list) || list.isEmpty()) {
-            throw new ConfigException(path + "shards", path + "shards is absent or no list");
-        }
-        for (Object shard : list) {
-            if (!(shard instanceof Integer s) || s < 0 || s >= layout.shards() || shards.contains(s)) {
-                throw new ConfigException(path + "shards", path + "shards holds no shard, or one twice: " + shard);
+        for (String text : at.texts("shards")) {
+            if (!text.matches("[0-9]{1,6}") || Integer.parseInt(text) >= layout.shards()
+                    || shards.contains(Integer.valueOf(text))) {
+                at.fault("shards", "holds no shard, or one twice: " + text);
+            } else {
+                shards.add(Integer.valueOf(text));
             }
-            shards.add(s);
         }
-        String source = text(at, path, "source", id + "-" + SHARD);
+        if (shards.isEmpty()) {
+            at.fault("shards", "is absent, empty or no list");
+        }
+        String source = at.text("source", id + "-" + SHARD);
         if (!source.replace(SHARD, "").matches("[A-Za-z0-9._-]*") || shards.size() > 1 && !source.contains(SHARD)) {
-            throw new ConfigException(path + "source", path + "source must be a name with " + SHARD + ": " + source);
+            at.fault("source", "must be a name with " + SHARD + ": " + source);
         }
-        return new Collection(id, text(at, path, "title", id), text(at, path, "description", ""), source, queryClass,
+        var made = new Collection(id, at.text("title", id), at.text("description", ""), source, queryClass,
                 List.copyOf(shards));
-    }
-
-    private static Map<?, ?> map(String key, Object value) {
-        if (value instanceof Map<?, ?> m) {
-            return m;
-        }
-        throw new ConfigException(key, (key.isEmpty() ? "the file" : key) + " is absent or no mapping");
-    }
-
-    private static boolean flag(Map<?, ?> in, String key) {
-        Object value = in.get(key);
-        if (value instanceof Boolean b) {
-            return b;
-        }
-        throw new ConfigException(key, key + " is absent or neither true nor false");
-    }
-
-    private static int whole(Map<?, ?> in, String key, int otherwise, int least) {
-        Object value = in.get(key);
-        if (value == null) {
-            return otherwise;
-        }
-        if (value instanceof Integer i && i >= least) {
-            return i;
-        }
-        throw new ConfigException(key, key + " must be a whole number of at least " + least + ": " + value);
-    }
-
-    private static String required(Map<?, ?> in, String path, String key) {
-        String value = text(in, path, key, null);
-        if (value == null) {
-            throw new ConfigException(path + key, path + key + " is absent");
-        }
-        return value;
-    }
-
-    private static String text(Map<?, ?> in, String path, String key, String otherwise) {
-        Object value = in.get(key);
-        if (value instanceof Map || value instanceof List) {
-            throw new ConfigException(path + key, path + key + " is no text");
-        }
-        return value == null ? otherwise : value.toString();
+        at.end();
+        return made;
     }
 }
--- /dev/null
+++ b/src/main/java/wallmoor/config/Operator.java
@@ -0,0 +1,218 @@
+package wallmoor.config;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.yaml.snakeyaml.LoaderOptions;
+import org.yaml.snakeyaml.Yaml;
+import org.yaml.snakeyaml.error.MarkedYAMLException;
+import org.yaml.snakeyaml.error.YAMLException;
+import org.yaml.snakeyaml.nodes.Node;
+
+/**
+ * The operators' own file, for all that the platform does not set: sources of nodes, further fronts, logging. It is
+ * YAML, read and checked whole; every fault is told with its key's path and its line. {@code WALLMOOR_OPERATOR} names
+ * it. Where none is named the program is as the platform knows it, and nothing of this costs anything.
+ *
+ * @param inventory a file of calendar nodes, or null
+ * @param dns       null where DNS is not asked
+ * @param ogc       the second front, or null where it is off
+ */
+public record Operator(NodeList list, InventoryFile inventory, Dns dns, OgcConfig ogc, LogConfig logging) {
+    /** Nodes of one source at most: a record of each takes about a kilobyte, so that all fit a small heap. */
+    public static final int MOST_NODES = 20_000;
+    private static final int MOST_BYTES = 1 << 20;
+    private static final int MOST_NAMES = 64;
+    private static final long DAY_MILLIS = 86_400_000;
+
+    /**
+     * The node list by discovery's watch.
+     *
+     * @param mostAge milliseconds that it stands when it can't be had; 0 for ever
+     */
+    public record NodeList(boolean enabled, long mostAge) {
+    }
+
+    /** A file of calendar nodes, in CSV or YAML. */
+    public record InventoryFile(Path file) {
+    }
+
+    /**
+     * A name that has SRV records.
+     *
+     * @param cell the cell of all its nodes, or -1 where their TXT records tell
+     */
+    public record DnsName(String name, int cell) {
+    }
+
+    /**
+     * DNS as a source. Times are milliseconds.
+     *
+     * @param mostAge     how long the last good answer stands when no server gives one
+     * @param leastTtl    a shorter lifetime counts as this one
+     * @param mostTtl     a longer one as this
+     * @param timeout     for one try at one server
+     * @param mostRecords SRV records, and nodes, at most
+     * @param leaving     the share of the nodes that may leave within a step on DNS's word alone
+     */
+    public record Dns(List<InetSocketAddress> servers, List<DnsName> names, long mostAge, long leastTtl, long mostTtl,
+            long timeout, int mostRecords, double leaving) {
+    }
+
+    /** The log: readable or JSON lines, and its levels by package. */
+    public record LogConfig(boolean json, Map<String, String> levels) {
+    }
+
+    /** What holds without a file. */
+    public static Operator usual() {
+        return new Operator(new NodeList(true, 0), null, null, null, new LogConfig(false, Map.of()));
+    }
+
+    /** Whether the node list is the only source of calendar nodes. */
+    public boolean listAlone() {
+        return list.enabled() && inventory == null && dns == null;
+    }
+
+    /** Reads the file that the environment names, or gives what holds without one. */
+    public static Operator read(Map<String, String> env, Launch launch) {
+        String named = env.get("WALLMOOR_OPERATOR");
+        return named == null || named.isEmpty() ? usual() : read(Path.of(named), launch);
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @throws ConfigException with all faults in its message, one a line
+     */
+    public static Operator read(Path file, Launch launch) {
+        var faults = new ArrayList<Section.Fault>();
+        Operator operator = read(file, launch, faults);
+        if (!faults.isEmpty()) {
+            var text = new StringBuilder();
+            faults.stream().sorted((a, b) -> Integer.compare(a.line(), b.line()))
+                    .forEach(f -> text.append(text.length() == 0 ? "" : "\n").append(file).append(": ").append(f));
+            throw new ConfigException(faults.get(0).key(), text.toString());
+        }
+        return operator;
+    }
+
+    private static Operator read(Path file, Launch launch, List<Section.Fault> faults) {
+        var root = new Section("", compose(file), faults);
+        Path folder = file.toAbsolutePath().getParent();
+        Section sources = root.section("sources");
+        Section list = sources.section("list");
+        var nodeList = new NodeList(list.flag("enabled", true), list.time("most_age", 0, 0, 30 * DAY_MILLIS));
+        list.end();
+        InventoryFile inventory = null;
+        if (sources.has("inventory")) {
+            Section at = sources.section("inventory");
+            boolean on = at.flag("enabled", true);
+            Path path = folder.resolve(at.required("file"));
+            at.end();
+            inventory = on ? new InventoryFile(path) : null;
+        }
+        Dns dns = sources.has("dns") ? dns(sources.section("dns"), launch) : null;
+        sources.section("inventory");
+        sources.section("dns");
+        sources.end();
+        if (!nodeList.enabled() && inventory == null && dns == null) {
+            root.fault("sources", "holds none that is enabled");
+        }
+        OgcConfig ogc = root.has("ogc") ? OgcConfig.of(root.section("ogc"), folder, launch) : null;
+        root.section("ogc");
+        LogConfig logging = logging(root.section("logging"));
+        root.end();
+        return new Operator(nodeList, inventory, dns, ogc, logging);
+    }
+
+    private static Node compose(Path file) {
+        try {
+            if (Files.size(file) > MOST_BYTES) {
+                throw new ConfigException(file.toString(), file + " is larger than " + MOST_BYTES + " bytes");
+            }
+            return new Yaml(new LoaderOptions()).compose(new java.io.StringReader(Files.readString(file)));
+        } catch (IOException e) {
+            throw new ConfigException(file.toString(), file + " can't be read: " + e);
+        } catch (MarkedYAMLException e) {
+            int line = e.getProblemMark() == null ? 0 : e.getProblemMark().getLine() + 1;
+            throw new ConfigException(file.toString(), file + ": line " + line + ": is no YAML: " + e.getProblem());
+        } catch (YAMLException e) {
+            throw new ConfigException(file.toString(),
+                    file + ": is no YAML: " + e.getMessage().replaceAll("\\s+", " "));
+        }
+    }
+
+    private static Dns dns(Section at, Launch launch) {
+        boolean on = at.flag("enabled", true);
+        var servers = new ArrayList<InetSocketAddress>();
+        for (String text : at.texts("servers")) {
+            address(at, "servers", text, servers);
+        }
+        if (servers.isEmpty()) {
+            at.fault("servers", "is absent, empty or holds no address: no system's resolver is asked instead");
+        }
+        var names = new ArrayList<DnsName>();
+        Set<String> seen = new HashSet<>();
+        for (Section item : at.sections("names")) {
+            String name = item.required("name");
+            int cell = item.whole("cell", -1, 0, launch.settings().layout().cells() - 1);
+            if (!name.isEmpty() && (!name.matches("[!-~]{1,253}") || !seen.add(name))) {
+                item.fault("name", "is no name, or stands twice: " + name);
+            }
+            item.end();
+            names.add(new DnsName(name, cell));
+        }
+        if (names.size() > MOST_NAMES) {
+            at.fault("names", "holds more than " + MOST_NAMES + ": each has a thread of its own");
+        }
+        if (names.isEmpty()) {
+            at.fault("names", "is absent or empty");
+        }
+        var dns = new Dns(List.copyOf(servers), List.copyOf(names), at.time("most_age", 3_600_000, 1000, 30 * DAY_MILLIS),
+                at.time("least_ttl", 1000, 100, DAY_MILLIS), at.time("most_ttl", 300_000, 1000, DAY_MILLIS),
+                at.time("timeout", 1500, 50, 10_000), at.whole("most_records", 1000, 1, MOST_NODES),
+                at.decimal("leaving", 0.2, 0.01, 1));
+        if (dns.leastTtl() > dns.mostTtl()) {
+            at.fault("least_ttl", "is longer than most_ttl");
+        }
+        at.end();
+        return on ? dns : null;
+    }
+
+    private static void address(Section at, String key, String text, List<InetSocketAddress> to) {
+        try {
+            to.add(Launch.address(key, text));
+        } catch (ConfigException e) {
+            at.fault(key, "holds what is not ADDRESS:PORT: " + text);
+        }
+    }
+
+    private static LogConfig logging(Section at) {
+        boolean json = at.value("format", false, t -> switch (t) {
+            case "text" -> false;
+            case "json" -> true;
+            default -> throw new IllegalArgumentException();
+        }, "is neither text nor json");
+        var levels = new LinkedHashMap<String, String>();
+        Section each = at.section("levels");
+        for (String name : each.keys()) {
+            String level = each.value(name, "INFO", t -> {
+                String upper = t.toUpperCase(java.util.Locale.ROOT);
+                if (!Set.of("TRACE", "DEBUG", "INFO", "WARN", "ERROR", "OFF").contains(upper)) {
+                    throw new IllegalArgumentException();
+                }
+                return upper;
+            }, "is none of trace, debug, info, warn, error and off");
+            levels.put(name.equals("root") ? "ROOT" : name.startsWith("wallmoor") ? name : "wallmoor." + name, level);
+        }
+        at.end();
+        return new LogConfig(json, Map.copyOf(levels));
+    }
+}
--- /dev/null
+++ b/src/main/java/wallmoor/config/Section.java
@@ -0,0 +1,215 @@
+package wallmoor.config;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import org.apache.commons.text.similarity.LevenshteinDistance;
+import org.yaml.snakeyaml.nodes.MappingNode;
+import org.yaml.snakeyaml.nodes.Node;
+import org.yaml.snakeyaml.nodes.NodeTuple;
+import org.yaml.snakeyaml.nodes.ScalarNode;
+import org.yaml.snakeyaml.nodes.SequenceNode;
+import org.yaml.snakeyaml.nodes.Tag;
+
+/**
+ * A mapping of the operators' file. Reading a key makes it known; {@link #end} faults those that nobody read. A fault is
+ * noted with its key's path and line, and reading goes on with the default, so that one reading finds all faults.
+ */
+final class Section {
+    /** A fault of the file. */
+    record Fault(int line, String key, String what) {
+        @Override
+        public String toString() {
+            return "line " + line + ": " + key + ": " + what;
+        }
+    }
+
+    /** A key this unlike a known one was not meant to be it. */
+    private static final int MOST_EDITS = 3;
+    private static final double SECONDS = 1000;
+
+    private final String path;
+    private final int line;
+    private final Map<String, Node> values = new LinkedHashMap<>();
+    private final Map<String, Integer> lines = new LinkedHashMap<>();
+    private final Set<String> read = new HashSet<>();
+    private final List<Fault> faults;
+
+    /** The mapping at {@code node}; null stands for an empty one. */
+    Section(String path, Node node, List<Fault> faults) {
+        this.path = path;
+        this.faults = faults;
+        line = node == null ? 0 : node.getStartMark().getLine() + 1;
+        if (node instanceof MappingNode map) {
+            for (NodeTuple t : map.getValue()) {
+                String key = t.getKeyNode() instanceof ScalarNode s ? s.getValue() : "?";
+                int at = t.getKeyNode().getStartMark().getLine() + 1;
+                if (values.put(key, t.getValueNode()) != null) {
+                    faults.add(new Fault(at, path(key), "stands twice"));
+                }
+                lines.put(key, at);
+            }
+        } else if (node != null && !node.getTag().equals(Tag.NULL)) {
+            faults.add(new Fault(line, path.isEmpty() ? "the file" : path, "is no mapping"));
+        }
+    }
+
+    String path(String key) {
+        return path.isEmpty() ? key : path + "." + key;
+    }
+
+    void fault(String key, String what) {
+        faults.add(new Fault(lines.getOrDefault(key, line), path(key), what));
+    }
+
+    boolean has(String key) {
+        return values.containsKey(key);
+    }
+
+    Set<String> keys() {
+        return values.keySet();
+    }
+
+    Section section(String key) {
+        read.add(key);
+        return new Section(path(key), values.get(key), faults);
+    }
+
+    /** The items of a list, each with its own path; empty where there is none. */
+    List<Node> items(String key) {
+        read.add(key);
+        Node node = values.get(key);
+        if (node == null) {
+            return List.of();
+        }
+        if (node instanceof SequenceNode s) {
+            return s.getValue();
+        }
+        fault(key, "is no list");
+        return List.of();
+    }
+
+    /** The mappings of a list. */
+    List<Section> sections(String key) {
+        var all = new ArrayList<Section>();
+        for (Node item : items(key)) {
+            all.add(new Section(path(key) + "." + all.size(), item, faults));
+        }
+        return all;
+    }
+
+    /** The plain values of a list. */
+    List<String> texts(String key) {
+        var all = new ArrayList<String>();
+        for (Node item : items(key)) {
+            if (item instanceof ScalarNode s) {
+                all.add(s.getValue());
+            } else {
+                faults.add(new Fault(item.getStartMark().getLine() + 1, path(key) + "." + all.size(), "is no text"));
+            }
+        }
+        return all;
+    }
+
+    String text(String key, String otherwise) {
+        return value(key, otherwise, Function.identity(), "is no text");
+    }
+
+    /** A text that must be there; its absence is a fault, and gives an empty one. */
+    String required(String key) {
+        String text = text(key, null);
+        if (text == null || text.isEmpty()) {
+            fault(key, "is absent or empty");
+            return "";
+        }
+        return text;
+    }
+
+    boolean flag(String key, boolean otherwise) {
+        return value(key, otherwise, t -> switch (t) {
+            case "true" -> true;
+            case "false" -> false;
+            default -> throw new IllegalArgumentException();
+        }, "is neither true nor false");
+    }
+
+    int whole(String key, int otherwise, int least, int most) {
+        return value(key, otherwise, t -> {
+            int n = Integer.parseInt(t);
+            if (n < least || n > most) {
+                throw new IllegalArgumentException();
+            }
+            return n;
+        }, "is no whole number from " + least + " to " + most);
+    }
+
+    double decimal(String key, double otherwise, double least, double most) {
+        return value(key, otherwise, t -> {
+            double n = Double.parseDouble(t);
+            if (!(n >= least && n <= most)) {
+                throw new IllegalArgumentException();
+            }
+            return n;
+        }, "is no number from " + least + " to " + most);
+    }
+
+    /** A time as a number and its unit: ms, s, m or h. Returns milliseconds. */
+    long time(String key, long otherwise, long least, long most) {
+        return value(key, otherwise, t -> {
+            String number = t.replaceAll("[a-z]+$", "");
+            double unit = switch (t.substring(number.length())) {
+                case "ms" -> 1;
+                case "s" -> SECONDS;
+                case "m" -> 60 * SECONDS;
+                case "h" -> 3600 * SECONDS;
+                default -> throw new IllegalArgumentException();
+            };
+            long millis = Math.round(Double.parseDouble(number) * unit);
+            if (millis < least || millis > most) {
+                throw new IllegalArgumentException();
+            }
+            return millis;
+        }, "is no time from " + least + "ms to " + most + "ms (such as 500ms, 10s, 5m or 1h)");
+    }
+
+    /** A value that {@code parse} takes or refuses by an IllegalArgumentException. */
+    <T> T value(String key, T otherwise, Function<String, T> parse, String fault) {
+        read.add(key);
+        Node node = values.get(key);
+        if (node == null) {
+            return otherwise;
+        }
+        try {
+            if (node instanceof ScalarNode s && !s.getTag().equals(Tag.NULL)) {
+                return parse.apply(s.getValue());
+            }
+            fault(key, fault);
+        } catch (IllegalArgumentException e) {
+            fault(key, fault + ": " + ((ScalarNode) node).getValue());
+        }
+        return otherwise;
+    }
+
+    /** Faults the keys that were not read: each with the known one that is most like it. */
+    void end() {
+        for (String key : values.keySet()) {
+            if (!read.contains(key)) {
+                var distance = new LevenshteinDistance(MOST_EDITS);
+                String near = null;
+                int least = MOST_EDITS + 1;
+                for (String known : read) {
+                    int d = distance.apply(key, known);
+                    if (d >= 0 && (d < least || d == least && known.compareTo(near) < 0)) {
+                        least = d;
+                        near = known;
+                    }
+                }
+                fault(key, "is unknown" + (near == null ? "" : "; did you mean " + near + "?"));
+            }
+        }
+    }
+}
--- a/src/main/java/wallmoor/core/Gatherer.java
+++ b/src/main/java/wallmoor/core/Gatherer.java
@@ -317,6 +317,16 @@
         }
     }
 
+    /** News of some nodes that came from elsewhere than the list. */
+    public void joined(List<Member> members) {
+        lock.lock();
+        try {
+            round(() -> list(ListKind.ENTRIES, members));
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** The watch on the list has ended or never came up; the module says when to ask again. */
     public void watchLost() {
         lock.lock();
@@ -352,7 +362,7 @@
     }
 
     private void list(ListKind kind, List<Member> members) {
-        if (kind != ListKind.CHANGES) { // one that stays must not seem gone even for a moment: writers look on
+        if (kind == ListKind.WHOLE || kind == ListKind.STALE) { // one that stays must not seem gone even for a moment: writers look on
             var named = new HashSet<String>();
             members.forEach(m -> named.add(m.id()));
             workers.values().stream().filter(w -> !named.contains(w.id())).forEach(Worker::leave);
--- a/src/main/java/wallmoor/decision/Brain.java
+++ b/src/main/java/wallmoor/decision/Brain.java
@@ -1034,11 +1034,11 @@
             askLater();
             return;
         }
-        if (kind != ListKind.STALE) {
+        if (kind == ListKind.WHOLE || kind == ListKind.CHANGES) {
             subscribed = true;
             askWait = ASK_AGAIN;
         }
-        if (kind != ListKind.CHANGES) {
+        if (kind == ListKind.WHOLE || kind == ListKind.STALE) {
             fleet.keepOnly(entries);
         }
         entries.forEach(this::entry);
--- a/src/main/java/wallmoor/decision/RouterApi.java
+++ b/src/main/java/wallmoor/decision/RouterApi.java
@@ -50,6 +50,8 @@
         WHOLE,
         /** The whole list as this root last had it, perhaps old. */
         STALE,
+        /** Entries learnt elsewhere than from the list; the subscription to it is as it was. */
+        ENTRIES,
         /** A call failed or the subscription broke; the list stands. */
         BROKEN
     }
--- a/src/main/java/wallmoor/platform/DiscoveryWatch.java
+++ b/src/main/java/wallmoor/discovery/DiscoveryWatch.java
@@ -1,10 +1,13 @@
-package wallmoor.platform;
+package wallmoor.discovery;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Proxy;
 import java.net.Socket;
+import java.util.List;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import wallmoor.config.Launch;
 import wallmoor.core.Gatherer;
 import wallmoor.http.HttpIn;
@@ -12,13 +15,18 @@
 import wallmoor.http.HttpProblem;
 import wallmoor.http.Message;
 import wallmoor.http.Slice;
+import wallmoor.http.Threads;
 import wallmoor.json.Json;
+import wallmoor.membership.Entry;
+import wallmoor.membership.News;
+import wallmoor.sources.Source;
 
 /**
  * Watches discovery's list: from the revision held last, whenever the module wants it watched. When to try again
  * after a failure is the module's to say; when the configuration names another discovery, the watch moves at once.
  */
-final class DiscoveryWatch {
+public final class DiscoveryWatch implements Source {
+    private final Logger log = LoggerFactory.getLogger(DiscoveryWatch.class);
     private static final int CONNECT_MILLIS = 1000;
     /** Discovery handles calls one after another; one that waits longer has failed there too. */
     private static final int HEAD_MILLIS = 2500;
@@ -27,11 +35,11 @@
     private static final int MOST_LINE = 1 << 20;
 
     /** Where the list is, and the version held of it; below 0 none, as another discovery may count from elsewhere. */
-    private static final class Source {
+    private static final class Place {
         final InetSocketAddress at;
         long revision;
 
-        Source(InetSocketAddress at, long revision) {
+        Place(InetSocketAddress at, long revision) {
             this.at = at;
             this.revision = revision;
         }
@@ -39,50 +47,76 @@
 
     private final Launch launch;
     private final Gatherer gatherer;
-    private final Consumer<String> log;
-    private volatile Source source;
+    private final Members known;
+    private volatile Consumer<News> to = news -> { };
+    private volatile Place place;
     private volatile Socket open;
 
-    DiscoveryWatch(Launch launch, long revision, Gatherer gatherer, Consumer<String> log) {
+    /**
+     * Makes the watch.
+     *
+     * @param gatherer says when the list is to be asked for, and is told when the watch has ended
+     * @throws Json.Malformed if the list that the program was started with is none
+     */
+    public DiscoveryWatch(Launch launch, Gatherer gatherer) throws Json.Malformed {
         this.launch = launch;
-        this.source = new Source(launch.discovery(), revision);
         this.gatherer = gatherer;
-        this.log = log;
+        known = launch.known() == null ? new Members(0, true, List.of()) : Members.of(launch.known(), launch);
+        place = new Place(launch.discovery(), known.revision());
+    }
+
+    @Override
+    public String name() {
+        return "list";
+    }
+
+    @Override
+    public List<Entry> known() {
+        return known.entries();
+    }
+
+    @Override
+    public void start(Consumer<News> reader) {
+        to = reader;
+        Threads.start("discovery", this::run);
     }
 
     /** From now on the list is to be had here; the one held stays until this discovery has told its own. */
-    void move(InetSocketAddress at) {
-        if (at.equals(source.at)) {
+    public void move(InetSocketAddress at) {
+        if (at.equals(place.at)) {
             return;
         }
-        source = new Source(at, -1);
+        place = new Place(at, -1);
         close(open); // its reader finds that the source is another one
         gatherer.watchAgain();
     }
 
     /** Watches until the thread is interrupted. */
-    void run() {
+    private void run() {
         while (!Thread.currentThread().isInterrupted()) {
-            Source from = source;
+            Place from = place;
             try {
                 gatherer.awaitWatchWanted();
-                from = source;
+                from = place;
                 watch(from);
             } catch (InterruptedException e) {
                 return;
             } catch (IOException | HttpProblem | Json.Malformed | RuntimeException | OutOfMemoryError e) {
-                log.accept("watch: " + e);
+                log.warn("watch: {}", e.toString());
+                if (from == place) {
+                    to.accept(new News.Failed(name(), e.toString()));
+                }
             }
-            if (from == source) { // one left for another discovery was not lost
+            if (from == place) { // one left for another discovery was not lost
                 gatherer.watchLost();
             }
         }
     }
 
-    private void watch(Source from) throws IOException, HttpProblem, Json.Malformed {
+    private void watch(Place from) throws IOException, HttpProblem, Json.Malformed {
         try (var socket = new Socket(Proxy.NO_PROXY)) {
             open = socket;
-            if (from != source) {
+            if (from != place) {
                 return;
             }
             socket.setTcpNoDelay(true);
@@ -97,12 +131,14 @@
                     line = in.bodyLine(SILENCE_MILLIS, MOST_LINE)) {
                 if (line.length() > 0) {
                     take(from, line);
+                } else if (from == place) {
+                    to.accept(new News.Same(name()));
                 }
             }
         }
     }
 
-    private static Message ask(Socket socket, HttpIn in, Source from, String target, boolean withBody)
+    private static Message ask(Socket socket, HttpIn in, Place from, String target, boolean withBody)
             throws IOException, HttpProblem {
         HttpOut.get(socket.getOutputStream(), from.at.getHostString() + ":" + from.at.getPort(), target, "");
         if (!in.await(HEAD_MILLIS)) {
@@ -115,11 +151,13 @@
         return answer;
     }
 
-    private void take(Source from, Slice json) throws Json.Malformed {
+    private void take(Place from, Slice json) throws Json.Malformed {
         Members news = Members.of(Json.object(json.buffer(), json.from(), json.length()), launch);
-        if (from == source) { // what a discovery left behind still says is old
+        if (from == place) { // what a discovery left behind still says is old
             from.revision = news.revision();
-            gatherer.members(news.complete(), news.members());
+            String version = "revision " + news.revision();
+            to.accept(news.complete() ? new News.Whole(name(), version, news.entries(), true)
+                    : new News.Changes(name(), version, news.entries()));
         }
     }
 
--- /dev/null
+++ b/src/main/java/wallmoor/dns/Services.java
@@ -0,0 +1,210 @@
+package wallmoor.dns;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
+import org.xbill.DNS.AAAARecord;
+import org.xbill.DNS.ARecord;
+import org.xbill.DNS.Name;
+import org.xbill.DNS.Record;
+import org.xbill.DNS.SRVRecord;
+import org.xbill.DNS.TXTRecord;
+import org.xbill.DNS.TextParseException;
+import org.xbill.DNS.Type;
+import wallmoor.http.Threads;
+
+/** Looks a service up: its SRV records (RFC 2782), and for each target the addresses and the TXT record. */
+public final class Services {
+    /** Look-ups at once: more would be a burst that servers drop. */
+    private static final int AT_ONCE = 8;
+    private static final int MOST_TEXT = 32;
+
+    /** What came of it. */
+    public sealed interface Result {
+
+        /**
+         * The service's targets.
+         *
+         * @param targets  those of which an address was found
+         * @param faults   what is wrong with the others, in words that name them
+         * @param lifetime milliseconds until it should be looked up again at the latest
+         */
+        record Offered(List<Target> targets, List<String> faults, long lifetime) implements Result {
+        }
+
+        /** The one target is the root: the service is decidedly not available there (RFC 2782). */
+        record NotOffered(long lifetime) implements Result {
+        }
+
+        /** No such records; {@code why} is NXDOMAIN or NODATA. */
+        record None(String why, long lifetime) implements Result {
+        }
+
+        /** No useful answer. */
+        record Failed(String why) implements Result {
+        }
+    }
+
+    private final Resolver resolver;
+    private final int mostRecords;
+    private final boolean withText;
+    private final LongSupplier clock;
+
+    /**
+     * Makes it.
+     *
+     * @param mostRecords an answer with more is not used
+     * @param withText    whether TXT records are wanted
+     * @param clock       the resolver's
+     */
+    Services(Resolver resolver, int mostRecords, boolean withText, LongSupplier clock) {
+        this.resolver = resolver;
+        this.mostRecords = mostRecords;
+        this.withText = withText;
+        this.clock = clock;
+    }
+
+    /** Looks a service up; gives up after so many milliseconds. */
+    Result find(String service, long millis) {
+        long deadline = clock.getAsLong() + millis;
+        Name name;
+        try {
+            name = Name.fromString(service, Name.root);
+        } catch (TextParseException e) {
+            return new Result.Failed(service + " is no name: " + e.getMessage());
+        }
+        Found found = resolver.find(name, Type.SRV, deadline);
+        if (found instanceof Found.None none) {
+            return new Result.None(none.why(), none.lifetime());
+        }
+        if (found instanceof Found.Failure failure) {
+            return new Result.Failed(failure.why());
+        }
+        var records = (Found.Records) found;
+        if (records.stale()) {
+            return new Result.Failed("no server answers");
+        }
+        if (records.records().size() > mostRecords) {
+            return new Result.Failed(records.records().size() + " SRV records, more than " + mostRecords);
+        }
+        if (records.records().size() == 1 && ((SRVRecord) records.records().get(0)).getTarget().equals(Name.root)) {
+            return new Result.NotOffered(records.lifetime());
+        }
+        return targets(records, deadline);
+    }
+
+    private Result targets(Found.Records found, long deadline) {
+        List<Record> records = found.records();
+        var targets = new Target[records.size()];
+        var faults = new String[records.size()];
+        var next = new AtomicInteger();
+        var threads = new ArrayList<Thread>();
+        for (int t = 0; t < Math.min(AT_ONCE, records.size()); t++) {
+            threads.add(Threads.start("dns-look-" + t, () -> {
+                for (int i = next.getAndIncrement(); i < targets.length; i = next.getAndIncrement()) {
+                    var srv = (SRVRecord) records.get(i);
+                    try {
+                        targets[i] = target(srv, found.lifetime(), deadline);
+                    } catch (Unusable | RuntimeException e) {
+                        faults[i] = plain(srv.getTarget()) + ": " + e.getMessage();
+                    }
+                }
+            }));
+        }
+        try {
+            for (Thread t : threads) {
+                t.join();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return new Result.Failed("interrupted");
+        }
+        var good = new ArrayList<Target>();
+        var bad = new ArrayList<String>();
+        long lifetime = found.lifetime();
+        Set<String> seen = new HashSet<>();
+        for (int i = 0; i < targets.length; i++) {
+            if (targets[i] == null) {
+                bad.add(faults[i]);
+            } else if (!seen.add(targets[i].name() + ":" + targets[i].port())) {
+                bad.add(targets[i].name() + ": port " + targets[i].port() + " stands twice");
+            } else {
+                good.add(targets[i]);
+                lifetime = Math.min(lifetime, targets[i].ttl());
+            }
+        }
+        return new Result.Offered(List.copyOf(good), List.copyOf(bad), lifetime);
+    }
+
+    /** Why a record can't be used. */
+    private static final class Unusable extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Unusable(String why) {
+            super(why);
+        }
+    }
+
+    private Target target(SRVRecord srv, long lifetime, long deadline) throws Unusable {
+        if (srv.getTarget().equals(Name.root) || srv.getPort() == 0) {
+            throw new Unusable("no target, or no port, beside others that are");
+        }
+        long ttl = lifetime;
+        Found at = resolver.find(srv.getTarget(), Type.A, deadline);
+        if (at instanceof Found.None) {
+            at = resolver.find(srv.getTarget(), Type.AAAA, deadline);
+        }
+        if (!(at instanceof Found.Records addresses)) {
+            throw new Unusable(at instanceof Found.None none ? "no address: " + none.why()
+                    : "its address can't be had: " + ((Found.Failure) at).why());
+        }
+        ttl = Math.min(ttl, addresses.lifetime());
+        Map<String, String> text = Map.of();
+        if (withText) {
+            Found told = resolver.find(srv.getTarget(), Type.TXT, deadline);
+            if (told instanceof Found.Failure failure) { // who it is stays open: a guess would make it another node
+                throw new Unusable("its TXT record can't be had: " + failure.why());
+            }
+            if (told instanceof Found.Records t) {
+                text = text(t.records());
+                ttl = Math.min(ttl, t.lifetime());
+            } else {
+                ttl = Math.min(ttl, ((Found.None) told).lifetime());
+            }
+        }
+        return new Target(plain(srv.getTarget()), addresses(addresses.records()), srv.getPort(), srv.getPriority(),
+                srv.getWeight(), text, ttl);
+    }
+
+    static String plain(Name name) {
+        return name.toString(true).toLowerCase(Locale.ROOT);
+    }
+
+    private static List<String> addresses(List<Record> records) {
+        return records.stream().map(r -> r instanceof ARecord a ? a.getAddress().getHostAddress()
+                : ((AAAARecord) r).getAddress().getHostAddress()).distinct().sorted().toList();
+    }
+
+    /** Keys and values; of a key that stands twice the first counts, one without a value has an empty one (RFC 6763). */
+    private static Map<String, String> text(List<Record> records) {
+        var pairs = new HashMap<String, String>();
+        for (Record r : records) {
+            for (byte[] bytes : ((TXTRecord) r).getStringsAsByteArrays()) {
+                String pair = new String(bytes, StandardCharsets.UTF_8);
+                int equals = pair.indexOf('=');
+                String key = (equals < 0 ? pair : pair.substring(0, equals)).toLowerCase(Locale.ROOT);
+                if (!key.isEmpty() && pairs.size() < MOST_TEXT) {
+                    pairs.putIfAbsent(key, equals < 0 ? "" : pair.substring(equals + 1));
+                }
+            }
+        }
+        return Map.copyOf(pairs);
+    }
+}
--- a/src/main/java/wallmoor/platform/WorkerConnection.java
+++ b/src/main/java/wallmoor/frames/WorkerConnection.java
@@ -1,4 +1,4 @@
-package wallmoor.platform;
+package wallmoor.frames;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -21,6 +21,7 @@
 import wallmoor.core.Gatherer;
 import wallmoor.core.Outcome;
 import wallmoor.core.Step;
+import wallmoor.core.Worker;
 
 /**
  * One connection to a worker, which carries many parts at once. A thread writes (and connects first), another reads;
@@ -55,6 +56,7 @@
     private final Gatherer gatherer;
     private final WorkerLinks.Limits limits;
     private final String name;
+    private final String id;
     private final String at;
     private final InetSocketAddress address;
     private final ReentrantLock lock = new ReentrantLock();
@@ -79,14 +81,15 @@
     private long usedAt = System.nanoTime();
     private volatile long writingSince;
 
-    WorkerConnection(Gatherer gatherer, WorkerLinks.Limits limits, String name, String address) {
+    WorkerConnection(Gatherer gatherer, WorkerLinks.Limits limits, String name, Worker worker) {
         this.gatherer = gatherer;
         this.limits = limits;
         this.name = name;
-        this.at = address;
+        this.id = worker.id();
+        this.at = worker.address();
         this.socket = limits.sockets().get();
         this.frameMillis = (int) Math.max(FRAME_MILLIS, TimeUnit.NANOSECONDS.toMillis(4 * limits.silentNanos()));
-        this.address = Launch.address("host_port", address);
+        this.address = Launch.address("host_port", at);
     }
 
     String name() {
@@ -219,7 +222,7 @@
     void run() {
         try {
             socket.setTcpNoDelay(true);
-            socket.connect(address, limits.connectMillis());
+            connect();
             wallmoor.http.Threads.start(name + "-read", this::read);
             write();
         } catch (IOException | RuntimeException | OutOfMemoryError e) {
@@ -232,6 +235,18 @@
         }
     }
 
+    private void connect() throws IOException {
+        try {
+            socket.connect(address, limits.connectMillis());
+        } catch (IOException e) {
+            if (!isClosed()) {
+                limits.reach().accept(id, false);
+            }
+            throw e;
+        }
+        limits.reach().accept(id, true);
+    }
+
     private void write() throws IOException, InterruptedException {
         while (true) {
             Frame frame = next();
--- a/src/main/java/wallmoor/platform/WorkerLinks.java
+++ b/src/main/java/wallmoor/frames/WorkerLinks.java
@@ -1,13 +1,16 @@
-package wallmoor.platform;
+package wallmoor.frames;
 
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import wallmoor.config.ConfigException;
+import wallmoor.config.Launch;
 import wallmoor.core.Attempt;
 import wallmoor.core.Gatherer;
 import wallmoor.core.Outcome;
@@ -16,13 +19,32 @@
 import wallmoor.http.Threads;
 
 /** The connections to all workers: a set for each, opened as its streams fill up. */
-final class WorkerLinks implements Workers {
+public final class WorkerLinks implements Workers {
     /** Connections to one worker at most: each holds up to the streams limit, so that a few carry all. */
     private static final int MOST_CONNECTIONS = 4;
+    /** A connection to a worker is silent after this share of the shortest aim: the module calls a part late then. */
+    private static final int SILENT_SHARE = 5;
 
-    /** What the settings say of connections. */
-    record Limits(int streams, int connectMillis, long retireNanos, long silentNanos, int mostConnections,
-            Supplier<Socket> sockets) {
+    /**
+     * What the settings say of connections.
+     *
+     * @param streams         parts at once on one connection
+     * @param retireNanos     an idle connection is closed after this time, before its worker would
+     * @param silentNanos     a connection on which nothing has come for this long since a part was written is silent
+     * @param mostConnections to all workers together
+     * @param reach           told of each connection that came up or did not, with the worker's id
+     */
+    public record Limits(int streams, int connectMillis, long retireNanos, long silentNanos, int mostConnections,
+            Supplier<Socket> sockets, BiConsumer<String, Boolean> reach) {
+
+        /** What a configuration says. */
+        public static Limits of(Launch launch, Supplier<Socket> sockets, BiConsumer<String, Boolean> reach) {
+            long retire = Math.max(launch.connIdleMillis() / 2, launch.connIdleMillis() - 1500);
+            long silent = launch.settings().classes().stream().mapToLong(c -> c.aim()).min().orElse(1_000_000) * 1000
+                    / SILENT_SHARE;
+            return new Limits(launch.streams(), launch.connectMillis(), TimeUnit.MILLISECONDS.toNanos(retire), silent,
+                    launch.mostWorkerConnections(), sockets, reach);
+        }
     }
 
     private final Gatherer gatherer;
@@ -32,14 +54,15 @@
     private final Thread watch;
     private int open;
 
-    WorkerLinks(Gatherer gatherer, Limits limits) {
+    /** Links for a gatherer's parts; none is open yet. */
+    public WorkerLinks(Gatherer gatherer, Limits limits) {
         this.gatherer = gatherer;
         this.limits = limits;
         watch = Threads.start("worker-watch", this::watch);
     }
 
     /** Closes all connections, and takes no more calls. */
-    synchronized void close() {
+    public synchronized void close() {
         watch.interrupt();
         links.values().forEach(l -> l.forEach(WorkerConnection::close));
         links.clear();
@@ -63,7 +86,7 @@
             }
             if (connections.size() < MOST_CONNECTIONS && open < limits.mostConnections()) {
                 try {
-                    fresh = new WorkerConnection(gatherer, limits, "worker-" + numbers.incrementAndGet(), address);
+                    fresh = new WorkerConnection(gatherer, limits, "worker-" + numbers.incrementAndGet(), send.worker());
                     if (fresh.offer(send, false)) {
                         connections.add(fresh);
                         open++;
--- a/src/main/java/wallmoor/ogc/Inventory.java
+++ b/src/main/java/wallmoor/inventory/Inventory.java
@@ -1,4 +1,4 @@
-package wallmoor.ogc;
+package wallmoor.inventory;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -8,40 +8,104 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.apache.commons.csv.CSVFormat;
 import org.apache.commons.csv.CSVParser;
 import org.apache.commons.csv.CSVRecord;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.yaml.snakeyaml.LoaderOptions;
+import org.yaml.snakeyaml.Yaml;
+import org.yaml.snakeyaml.constructor.SafeConstructor;
+import org.yaml.snakeyaml.error.YAMLException;
 import wallmoor.config.ConfigException;
 import wallmoor.config.Launch;
-import wallmoor.config.OgcConfig;
 import wallmoor.core.Member;
 import wallmoor.decision.RouterApi.Layout;
+import wallmoor.http.Threads;
+import wallmoor.membership.Entry;
+import wallmoor.membership.News;
+import wallmoor.sources.Source;
 
 /**
- * The feature servers, from a CSV or YAML file as configuration tools keep it: YAML has groups with hosts, variables
+ * Nodes, from a CSV or YAML file as configuration tools keep it: YAML has groups with hosts, variables
  * and child groups, nearer variables before farther ones; CSV has a host a row and its variables in columns. A file
  * that is wrong anywhere is not taken at all, and the last good one stands.
  */
-final class Inventory {
+public final class Inventory implements Source {
     private static final int MOST_BYTES = 1 << 20;
     private static final int DEEPEST = 16;
+    private static final long REREAD_MILLIS = 350;
 
     private final Path file;
     private final Layout layout;
     private final List<String> zones;
-    private final Map<String, Member> last = new HashMap<>();
+    private final List<String> kinds;
+    private final Logger log = LoggerFactory.getLogger(Inventory.class);
     private byte[] seen;
     private byte[] coming;
     private boolean first = true;
 
-    Inventory(Path file, Layout layout, List<String> zones) {
+    /**
+     * An inventory; nothing is read yet.
+     *
+     * @param zones the zones' names, by index
+     * @param kinds the machine kinds' names, by index
+     */
+    public Inventory(Path file, Layout layout, List<String> zones, List<String> kinds) {
         this.file = file;
         this.layout = layout;
         this.zones = zones;
+        this.kinds = kinds;
+    }
+
+    @Override
+    public String name() {
+        return "inventory";
+    }
+
+    /**
+     * What the file holds.
+     *
+     * @throws ConfigException if it is wrong anywhere: a program is not started on a faulty one
+     */
+    @Override
+    public List<Entry> known() {
+        List<Entry> all = changed();
+        return all == null ? List.of() : all;
+    }
+
+    @Override
+    public void start(Consumer<News> to) {
+        Threads.start("inventory", () -> reread(to));
+    }
+
+    private void reread(Consumer<News> to) {
+        String told = "";
+        int read = 1;
+        while (true) {
+            try {
+                Thread.sleep(REREAD_MILLIS);
+                List<Entry> list = changed();
+                if (list != null) {
+                    to.accept(new News.Whole(name(), "reading " + ++read, list, true));
+                    log.info("{}: {} hosts", file.getFileName(), list.size());
+                    told = "";
+                }
+            } catch (ConfigException e) {
+                if (!told.equals(e.getMessage())) {
+                    told = e.getMessage();
+                    log.error("inventory not taken, the last one stands: {}", told);
+                    to.accept(new News.Failed(name(), told));
+                }
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
     }
 
     /** The list if the file has changed since the last call, else null. */
-    List<Member> changed(long now) {
+    List<Entry> changed() {
         byte[] text;
         try {
             if (Files.size(file) > MOST_BYTES) {
@@ -61,13 +125,11 @@
         }
         seen = text; // a fault in it is told once
         Map<String, Map<String, String>> hosts = file.toString().endsWith(".csv")
-                ? csv(new String(text, java.nio.charset.StandardCharsets.UTF_8)) : yaml();
-        var members = new LinkedHashMap<String, Member>();
-        hosts.forEach((name, vars) -> members.put(name, member(name, vars, now)));
-        last.clear();
-        last.putAll(members);
+                ? csv(new String(text, java.nio.charset.StandardCharsets.UTF_8)) : yaml(text);
+        var entries = new LinkedHashMap<String, Entry>();
+        hosts.forEach((name, vars) -> entries.put(name, entry(name, vars)));
         first = false;
-        return List.copyOf(members.values());
+        return List.copyOf(entries.values());
     }
 
     private Map<String, Map<String, String>> csv(String text) {
@@ -91,15 +153,26 @@
         return hosts;
     }
 
-    private Map<String, Map<String, String>> yaml() {
+    private Map<String, Map<String, String>> yaml(byte[] text) {
         var hosts = new LinkedHashMap<String, Map<String, String>>();
-        if (!(OgcConfig.yaml(file) instanceof Map<?, ?> groups)) {
+        if (!(load(new String(text, java.nio.charset.StandardCharsets.UTF_8)) instanceof Map<?, ?> groups)) {
             throw bad("file", "holds no groups");
         }
         groups.forEach((name, group) -> group("group " + name, group, Map.of(), hosts, 0));
         return hosts;
     }
 
+    /** YAML as plain maps, lists and values; no type is made that the file names. */
+    private Object load(String text) {
+        try {
+            var options = new LoaderOptions();
+            options.setAllowDuplicateKeys(false);
+            return new Yaml(new SafeConstructor(options)).load(text);
+        } catch (YAMLException e) {
+            throw bad("file", "is no YAML: " + e.getMessage().replaceAll("\\s+", " "));
+        }
+    }
+
     private void group(String at, Object value, Map<String, String> inherited,
             Map<String, Map<String, String>> hosts, int depth) {
         if (value == null) {
@@ -141,7 +214,7 @@
         return vars;
     }
 
-    private Member member(String name, Map<String, String> vars, long now) {
+    private Entry entry(String name, Map<String, String> vars) {
         String at = "host " + name;
         String address = vars.getOrDefault("address", "");
         if (address.isEmpty()) {
@@ -168,15 +241,12 @@
         if (zoneIndex < 0 && !zone.isEmpty()) {
             throw bad(at, "has an unknown zone: " + zone);
         }
-        return new Member(name, address, Math.max(0, zoneIndex), 0, Integer.parseInt(cell), state, 1,
-                upSince(name, state, now));
-    }
-
-    /** The file does not say when a server started: one that comes or comes back later counts as cold from then. */
-    private long upSince(String name, Member.State state, long now) {
-        Member before = last.get(name);
-        boolean back = state == Member.State.SERVING && (before == null || before.state() != Member.State.SERVING);
-        return back && !first ? now : before == null ? 0 : before.upSince();
+        String kind = vars.getOrDefault("kind", "");
+        if (!kind.isEmpty() && kinds.indexOf(kind) < 0) {
+            throw bad(at, "has an unknown kind: " + kind);
+        }
+        return new Entry(name, address, Math.max(0, zoneIndex), Math.max(0, kinds.indexOf(kind)),
+                Integer.parseInt(cell), state, 1, Entry.UNTOLD, 0);
     }
 
     private ConfigException bad(String row, String what) {
--- /dev/null
+++ b/src/main/java/wallmoor/log/Logging.java
@@ -0,0 +1,108 @@
+package wallmoor.log;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.turbo.TurboFilter;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.Encoder;
+import ch.qos.logback.core.spi.ContextAwareBase;
+import ch.qos.logback.core.spi.FilterReply;
+import org.slf4j.LoggerFactory;
+import org.slf4j.Marker;
+import wallmoor.config.Operator.LogConfig;
+
+/**
+ * Sets Logback up, by code: its XML would cost a start the parser. Readable lines on standard error until a
+ * configuration is applied, then as that says.
+ */
+public final class Logging extends ContextAwareBase implements Configurator {
+    /** Of lines of one form so many pass in ten seconds: a fault that repeats with each query must not be the load. */
+    private static final int MOST_ALIKE = 20;
+    private static final long PERIOD_MILLIS = 10_000;
+    private static final String READABLE = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level %logger{0}: %msg%n%nopex";
+
+    /** Drops lines that repeat too often, whatever their numbers and names. */
+    private static final class Limit extends TurboFilter {
+        private final Repeats repeats = new Repeats(MOST_ALIKE, PERIOD_MILLIS);
+
+        @Override
+        public FilterReply decide(Marker marker, Logger logger, Level level, String format, Object[] params,
+                Throwable thrown) {
+            if (format == null || !level.isGreaterOrEqual(logger.getEffectiveLevel())) {
+                return FilterReply.NEUTRAL;
+            }
+            int held;
+            synchronized (repeats) {
+                held = repeats.pass(System.currentTimeMillis(), logger.getName() + form(format, params));
+            }
+            if (held < 0) {
+                return FilterReply.DENY;
+            }
+            if (held > 0) {
+                logger.warn("{} lines like the next were held back", held);
+            }
+            return FilterReply.NEUTRAL;
+        }
+
+        /** A line's form: its pattern, or where it has none its text without numbers. */
+        private static String form(String format, Object[] params) {
+            return params != null ? format : format.replaceAll("[0-9]+", "#");
+        }
+    }
+
+    /** How Logback calls it, by its service file. */
+    @Override
+    public ExecutionStatus configure(LoggerContext context) {
+        var limit = new Limit();
+        limit.setContext(context);
+        limit.start();
+        context.addTurboFilter(limit);
+        setUp(context, false);
+        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+    }
+
+    /** Applies a configuration; what it does not name has the level INFO. */
+    public static void apply(LogConfig config) {
+        var context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        if (config.json() != Boolean.TRUE.equals(context.getObject("json"))) {
+            setUp(context, config.json());
+        }
+        context.getLoggerList().forEach(l -> l.setLevel(l.getName().equals(Logger.ROOT_LOGGER_NAME) ? Level.INFO : null));
+        config.levels().forEach((name, level) -> context.getLogger(name).setLevel(Level.toLevel(level)));
+    }
+
+    private static void setUp(LoggerContext context, boolean json) {
+        Encoder<ILoggingEvent> encoder;
+        if (json) {
+            var lines = new JsonEncoder();
+            lines.setWithSequenceNumber(false);
+            lines.setWithContext(false);
+            lines.setWithNanoseconds(false);
+            lines.setWithFormattedMessage(true);
+            lines.setWithMessage(false);
+            encoder = lines;
+        } else {
+            var lines = new PatternLayoutEncoder();
+            lines.setPattern(READABLE);
+            encoder = lines;
+        }
+        encoder.setContext(context);
+        encoder.start();
+        var appender = new ConsoleAppender<ILoggingEvent>();
+        appender.setContext(context);
+        appender.setName("console");
+        appender.setTarget("System.err");
+        appender.setEncoder(encoder);
+        appender.start();
+        Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
+        root.detachAndStopAllAppenders();
+        root.setLevel(Level.INFO);
+        root.addAppender(appender);
+        context.putObject("json", json);
+    }
+}
--- a/src/main/java/wallmoor/ogc/Features.java
+++ b/src/main/java/wallmoor/ogc/Features.java
@@ -13,13 +13,11 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import wallmoor.config.ConfigException;
 import wallmoor.config.Launch;
 import wallmoor.config.OgcConfig;
 import wallmoor.config.OgcConfig.Collection;
 import wallmoor.core.Clock;
 import wallmoor.core.Gatherer;
-import wallmoor.core.Member;
 import wallmoor.core.Query;
 import wallmoor.core.Step;
 import wallmoor.decision.RouterApi.Effect;
@@ -29,7 +27,10 @@
 import wallmoor.http.Message;
 import wallmoor.http.Server;
 import wallmoor.http.Threads;
+import wallmoor.inventory.Inventory;
 import wallmoor.json.Json;
+import wallmoor.membership.Policy;
+import wallmoor.sources.Membership;
 
 /**
  * The second front: OGC API - Features Part 1 (Core) with GeoJSON. A page asked for is a query, a shard's share of it
@@ -43,7 +44,8 @@
     static final int MOST_FEATURES_BYTES = HttpIn.MOST_BODY - 8 * 1024;
     /** Time kept back from the client's deadline for the answer's way and a busy machine (microseconds). */
     private static final long FOR_THE_WIRE = 10_000;
-    private static final long REREAD_MILLIS = 350;
+    /** Feature servers at most; an inventory of a megabyte holds about as many. */
+    private static final int MOST_SERVERS = 20_000;
 
     private final OgcConfig config;
     private final Settings settings;
@@ -51,8 +53,7 @@
     private final Consumer<String> log;
     private final Gatherer gatherer;
     private final FeatureServers servers;
-    private final Inventory inventory;
-    private final List<Member> known;
+    private final Membership membership;
     private final Server server;
     private final AtomicLong numbers = new AtomicLong();
 
@@ -64,17 +65,16 @@
         settings = launch.settings().with(config.layout());
         gatherer = new Gatherer(settings, launch.seed(), clock, log);
         servers = new FeatureServers(gatherer, launch.connectMillis(), launch.sockets() / 8);
-        inventory = new Inventory(config.inventory(), config.layout(), launch.zones());
-        known = inventory.changed(gatherer.now());
+        var inventory = new Inventory(config.inventory(), config.layout(), launch.zones(), launch.kinds());
+        var policy = new Policy.Source(inventory.name(), true, 0, 1, MOST_SERVERS);
+        membership = new Membership(Policy.of(List.of(policy)), clock, gatherer, List.of(inventory));
         server = new Server("ogc", config.listen(), launch.sockets() / 16, launch.sockets() / 16, this::handle, log);
     }
 
     /** Begins to serve. */
     public void start() {
-        gatherer.start(known);
-        gatherer.members(true, known);
+        membership.start();
         Threads.start("ogc-timers", gatherer::runTimers);
-        Threads.start("ogc-inventory", this::reread);
         server.start();
     }
 
@@ -85,28 +85,6 @@
         server.finish(finishMillis);
     }
 
-    private void reread() {
-        String told = "";
-        while (true) {
-            try {
-                Thread.sleep(REREAD_MILLIS);
-                List<Member> list = inventory.changed(gatherer.now());
-                if (list != null) {
-                    gatherer.members(true, list);
-                    log.accept("inventory: " + list.size() + " hosts");
-                    told = "";
-                }
-            } catch (ConfigException e) {
-                if (!told.equals(e.getMessage())) {
-                    told = e.getMessage();
-                    log.accept("inventory not taken, the last one stands: " + told);
-                }
-            } catch (InterruptedException e) {
-                return;
-            }
-        }
-    }
-
     // ---- resources ----------------------------------------------------------------------------------------
 
     private void handle(Message request, Server.Exchange exchange)
--- a/src/main/java/wallmoor/platform/Platform.java
+++ b/src/main/java/wallmoor/platform/Platform.java
@@ -1,103 +1,74 @@
 package wallmoor.platform;
 
 import java.io.IOException;
-import java.net.Proxy;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import wallmoor.config.Launch;
 import wallmoor.core.Clock;
 import wallmoor.core.Gatherer;
 import wallmoor.core.Query;
 import wallmoor.core.Step;
+import wallmoor.core.Workers;
 import wallmoor.http.HttpProblem;
 import wallmoor.http.Message;
 import wallmoor.http.Server;
 import wallmoor.http.Slice;
-import wallmoor.http.Threads;
 import wallmoor.json.Json;
 
-/** The platform's front: queries by {@code POST /api}, parts to workers by frames, the list by discovery's watch. */
+/** The platform's front: queries by {@code POST /api}. */
 public final class Platform {
     /** Time kept back from the client's deadline for the answer's way and a busy machine (microseconds). */
     private static final long FOR_THE_WIRE = 10_000;
     private static final int MOST_PARTS = 1000;
-    /** A connection to a worker is silent after this share of the shortest aim: the module calls a part late then. */
-    private static final int SILENT_SHARE = 5;
     /** Weights add up to 1 but for their rounding. */
     private static final double WEIGHT_SLACK = 0.01;
 
     private final Launch launch;
     private final Clock clock;
     private final Gatherer gatherer;
-    private final WorkerLinks workers;
+    private final Workers workers;
     private final Server server;
-    private final DiscoveryWatch watch;
     private final Consumer<String> log;
-    private final List<wallmoor.core.Member> known;
     private volatile boolean ready;
     /** When the program ends: an answer after that would never go out. */
     private volatile long lastAnswer = Long.MAX_VALUE;
-    private Thread timers;
 
-    /** Makes the front and listens; nothing is answered before {@link #start}. */
-    public Platform(Launch launch, Clock clock, Consumer<String> log) throws IOException, Json.Malformed {
-        this(launch, clock, log, null);
+    /**
+     * Makes the front and listens; nothing is answered before {@link #start}.
+     *
+     * @param gatherer takes the queries
+     * @param workers  where their parts go
+     */
+    public Platform(Launch launch, Clock clock, Gatherer gatherer, Workers workers, Consumer<String> log)
+            throws IOException {
+        this(launch, clock, gatherer, workers, log, launch.listen());
     }
 
-    /** A front whose workers are reached by other sockets does not listen. */
-    Platform(Launch launch, Clock clock, Consumer<String> log, Supplier<Socket> others)
-            throws IOException, Json.Malformed {
+    /** A front that listens nowhere where {@code listen} is null: it serves what {@link #serve} is given. */
+    public Platform(Launch launch, Clock clock, Gatherer gatherer, Workers workers, Consumer<String> log,
+            InetSocketAddress listen) throws IOException {
         this.launch = launch;
         this.clock = clock;
+        this.gatherer = gatherer;
+        this.workers = workers;
         this.log = log;
-        gatherer = new Gatherer(launch.settings(), launch.seed(), clock, log);
-        long retire = Math.max(launch.connIdleMillis() / 2, launch.connIdleMillis() - 1500);
-        long silent = launch.settings().classes().stream().mapToLong(c -> c.aim()).min().orElse(1_000_000) * 1000
-                / SILENT_SHARE;
-        workers = new WorkerLinks(gatherer, new WorkerLinks.Limits(launch.streams(), launch.connectMillis(),
-                TimeUnit.MILLISECONDS.toNanos(retire), silent, launch.mostWorkerConnections(),
-                others == null ? () -> new Socket(Proxy.NO_PROXY) : others)); // no settings of proxies are read
-        Members list = launch.known() == null ? new Members(0, true, List.of())
-                : Members.of(launch.known(), launch);
-        known = list.members();
-        watch = new DiscoveryWatch(launch, list.revision(), gatherer, log);
-        server = new Server("api", others == null ? launch.listen() : null, launch.mostClients(), launch.mostClients(), this::handle, log);
+        server = new Server("api", listen, launch.mostClients(), launch.mostClients(), this::handle, log);
     }
 
-    /** Begins to serve: the list as last held at once, news of it as discovery has them. */
+    /** Begins to serve. */
     public void start() {
-        gatherer.start(known);
-        Threads.start("timers", gatherer::runTimers);
-        Threads.start("discovery", watch::run);
         server.start();
     }
 
-    /** Takes a configuration that was read again: the watch moves to its discovery; the rest holds from a restart on. */
-    public void reload(Launch changed) {
-        log.accept("configuration read again, discovery is " + changed.discovery());
-        watch.move(changed.discovery());
-    }
-
-    /** Serves one connection alone, on these workers and without discovery. */
-    void rehearse(List<wallmoor.core.Member> members, Socket client) {
-        gatherer.start(members);
-        timers = Threads.start("rehearsal-timers", gatherer::runTimers);
+    /** Serves one connection alone. */
+    public void serve(Socket client) {
         server.serve(client);
     }
 
-    /** Ends a rehearsal: nothing of it stays. */
-    void end() {
-        if (timers != null) {
-            timers.interrupt();
-        }
-        workers.close();
-    }
-
     /** Whether the front of the platform may send clients here. */
     public void ready(boolean is) {
         ready = is;
--- a/src/main/java/wallmoor/platform/Rehearsal.java
+++ b/src/main/java/wallmoor/service/Rehearsal.java
@@ -1,4 +1,4 @@
-package wallmoor.platform;
+package wallmoor.service;
 
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -18,6 +18,7 @@
 import wallmoor.http.HttpIn;
 import wallmoor.http.HttpProblem;
 import wallmoor.http.Threads;
+import wallmoor.platform.Platform;
 
 /**
  * Sends made-up queries through a front of its own, from the client's bytes to a worker's frames and back, before the
@@ -41,11 +42,12 @@
         for (int i = 0; i < 2 * cells; i++) {
             members.add(new Member("r" + i, "127.0.0.1:1", i % 2, 0, i % cells, Member.State.SERVING, 1, 0));
         }
-        Platform platform = null;
+        CalendarNodes nodes = null;
         try (var client = new InMemory(); var served = new InMemory()) {
             client.joined(served);
-            platform = new Platform(launch, new Clock(), line -> { }, Worker::new);
-            platform.rehearse(members, served);
+            var clock = new Clock();
+            nodes = CalendarNodes.without(launch, clock, Worker::new, members);
+            new Platform(launch, clock, nodes.gatherer(), nodes.workers(), line -> { }, null).serve(served);
             var in = new HttpIn(client);
             for (int i = 0; i < QUERIES && System.nanoTime() < until; i++) {
                 client.getOutputStream().write(query(launch, i));
@@ -54,11 +56,11 @@
                 }
                 in.answer(ANSWER_MILLIS, true);
             }
-        } catch (IOException | HttpProblem | wallmoor.json.Json.Malformed | RuntimeException | OutOfMemoryError e) {
+        } catch (IOException | HttpProblem | RuntimeException | OutOfMemoryError e) {
             // a cold start is slower, no worse: the real front says what is wrong, if anything is
         } finally {
-            if (platform != null) {
-                platform.end();
+            if (nodes != null) {
+                nodes.close();
             }
         }
     }
--- /dev/null
+++ b/src/main/java/wallmoor/service/Service.java
@@ -0,0 +1,126 @@
+package wallmoor.service;
+
+import java.io.IOException;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wallmoor.config.ConfigException;
+import wallmoor.config.Launch;
+import wallmoor.config.Operator;
+import wallmoor.core.Clock;
+import wallmoor.decision.RouterApi.QueryClass;
+import wallmoor.decision.RouterApi.Settings;
+import wallmoor.json.Json;
+import wallmoor.log.Logging;
+import wallmoor.ogc.Features;
+import wallmoor.platform.Platform;
+import wallmoor.sources.Membership;
+
+/** A gatherer with all that its configuration switches on: made, started, told of changes, and told to leave. */
+public final class Service {
+    /** SIGKILL comes so long and the longest time a client waits after SIGTERM, no sooner; more than 3 s count as 3. */
+    private static final long HAND_OVER_MILLIS = 700;
+    private static final long LONGEST_MILLIS = 3_000;
+    /** Kept back of that time: for the end of the program itself, and for the answers to what comes last. */
+    private static final long LAST_MILLIS = 150;
+    private static final long LEAST_TO_ANSWER_MILLIS = 400;
+
+    private final Logger log = LoggerFactory.getLogger(Service.class);
+    private final Launch launch;
+    private final Operator operator;
+    private final CalendarNodes nodes;
+    private final Platform platform;
+    private final Features features;
+
+    /** Makes it; its fronts listen from now on, and answer from {@link #start} on. */
+    public Service(Launch launch, Operator operator) throws IOException, Json.Malformed {
+        this.launch = launch;
+        this.operator = operator;
+        var clock = new Clock();
+        nodes = CalendarNodes.of(launch, clock, operator);
+        Consumer<String> platformLog = LoggerFactory.getLogger(Platform.class)::info;
+        platform = new Platform(launch, clock, nodes.gatherer(), nodes.workers(), platformLog);
+        features = operator.ogc() == null ? null : features(clock);
+    }
+
+    private Features features(Clock clock) throws IOException {
+        Consumer<String> featuresLog = LoggerFactory.getLogger(Features.class)::info;
+        return new Features(operator.ogc(), launch, clock, featuresLog);
+    }
+
+    /** Begins to serve. */
+    public void start() {
+        nodes.start();
+        platform.start();
+        if (features != null) {
+            features.start();
+            log.info("features on {}", operator.ogc().listen());
+        }
+        platform.ready(true);
+        log.info("serving as {} on {}", launch.name(), launch.listen());
+    }
+
+    /** Who serves which nodes now, and why. */
+    public Membership membership() {
+        return nodes.membership();
+    }
+
+    /**
+     * SIGHUP: the configuration is read and checked again, and its {@code discovery} is what holds from now on; of the
+     * operators' file the log's form and levels, and how DNS is asked. A faulty file changes nothing.
+     */
+    public synchronized void reload() {
+        try {
+            Launch changed = Launch.read(System.getenv());
+            Operator file = Operator.read(System.getenv(), changed);
+            log.info("configuration read again, discovery is {}", changed.discovery());
+            Logging.apply(file.logging());
+            nodes.reload(changed, file);
+        } catch (ConfigException e) {
+            log.error("configuration kept as it was: {}: {}", e.key(), e.getMessage());
+        } catch (RuntimeException e) {
+            log.error("configuration kept as it was: {}", e.toString());
+        }
+    }
+
+    /**
+     * SIGTERM: not ready, and out once all is answered. Clients go on using the connections they have, and the
+     * gatherer that is to take over may itself not be there yet: so these are served for as long as what comes last
+     * can still be answered before SIGKILL.
+     */
+    public void leave() {
+        platform.ready(false);
+        log.info("told to leave");
+        Settings settings = launch.settings();
+        long longest = settings.classes().stream().mapToLong(QueryClass::giveUp).max().orElse(0) / 1000;
+        long aim = settings.classes().stream().mapToLong(QueryClass::aim).max().orElse(0) / 1000;
+        long end = Math.min(LONGEST_MILLIS, longest) + HAND_OVER_MILLIS - LAST_MILLIS;
+        long handOver = Math.max(HAND_OVER_MILLIS, end - Math.max(LEAST_TO_ANSWER_MILLIS, aim));
+        var second = new Thread(() -> {
+            if (features != null) {
+                leave(features::leave, HAND_OVER_MILLIS, LONGEST_MILLIS + HAND_OVER_MILLIS);
+            }
+        }, "leave-ogc");
+        second.start();
+        leave(platform::leave, handOver, end - handOver);
+        try {
+            second.join(LONGEST_MILLIS + 2 * HAND_OVER_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        log.info("left");
+    }
+
+    /** A front's way out. */
+    private interface Leaving {
+        void leave(long handOverMillis, long finishMillis) throws IOException, InterruptedException;
+    }
+
+    private void leave(Leaving front, long handOverMillis, long finishMillis) {
+        try {
+            front.leave(handOverMillis, finishMillis);
+        } catch (IOException | InterruptedException e) {
+            log.warn("left in haste: {}", e.toString());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/wallmoor/membership/RosterPropertiesTest.java
@@ -0,0 +1,161 @@
+package wallmoor.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import wallmoor.core.Member;
+import wallmoor.core.Member.State;
+
+/** What holds whatever the sources say and in whatever order, over random interleavings of their news. */
+class RosterPropertiesTest {
+    private static final long SECOND = 1_000_000;
+    private static final int NODES = 8;
+
+    /** Something that happens after a while. */
+    private record Happening(int kind, int node, Set<Integer> named, int after) {
+    }
+
+    /** What a gatherer would hold: it is told of changes only. */
+    private static final class World {
+        final Roster roster = new Roster(RosterTest.POLICY);
+        final Map<String, Member> held = new TreeMap<>();
+        /** What the list said last, for the nodes that it drains or has removed while a record may still live. */
+        final Map<String, State> listSays = new HashMap<>();
+        final Set<String> inDns = new HashSet<>();
+        long now = 1_000 * SECOND;
+        int changes;
+
+        void carry(List<Change> all) {
+            var named = new HashSet<String>();
+            for (Change c : all) {
+                changes++;
+                assertTrue(named.add(c.member().id()), "each node once at most");
+                assertTrue(!c.cause().isEmpty(), "each change with its cause");
+                if (c.member().state() == State.GONE) {
+                    assertTrue(held.remove(c.member().id()) != null, "gone that was never there");
+                } else {
+                    held.put(c.member().id(), c.member());
+                }
+            }
+            listSays.forEach((id, state) -> {
+                if (state != State.SERVING) { // at once, hence within 2 s
+                    Member m = held.get(id);
+                    assertTrue(m == null || m.state() != State.SERVING, id + " serves though the list says " + state);
+                }
+            });
+            var addresses = new HashMap<String, String>();
+            held.values().stream().filter(m -> m.state() == State.SERVING).forEach(m ->
+                    assertEquals(null, addresses.put(m.address(), m.id()), "two serve at " + m.address()));
+        }
+
+        void pass(long micros) {
+            long end = now + micros;
+            int before = changes;
+            while (roster.due() <= end) {
+                now = Math.max(now + 1, roster.due());
+                carry(roster.tick(now));
+            }
+            now = end;
+            carry(roster.tick(now));
+            assertTrue(changes - before <= 4 * NODES, "no oscillation without news: " + (changes - before));
+        }
+
+        void happen(Happening h) {
+            String id = "w" + h.node;
+            switch (h.kind) {
+                case 0, 1, 2 -> dns(h.named);
+                case 3 -> carry(roster.take(now, new News.Failed("dns", "SERVFAIL")));
+                case 4 -> list(id, State.SERVING);
+                case 5 -> list(id, State.DRAINING);
+                case 6 -> list(id, State.GONE);
+                case 7 -> {
+                    listSays.keySet().forEach(k -> listSays.put(k, State.GONE));
+                    h.named.forEach(n -> listSays.put("w" + n, State.SERVING));
+                    carry(roster.take(now, new News.Whole("list", "whole", entries(h.named), true)));
+                }
+                case 8 -> carry(roster.reached(now, id, h.named.size() % 2 == 0));
+                default -> dns(Set.of());
+            }
+            // a tomb is forgotten a while after its last record: from then on DNS may speak again
+            pass(h.after * SECOND);
+        }
+
+        private void list(String id, State state) {
+            listSays.put(id, state);
+            carry(roster.take(now, new News.Changes("list", "change", List.of(RosterTest.entry(id, state, 0)))));
+        }
+
+        void dns(Set<Integer> named) {
+            carry(roster.take(now, new News.Whole("dns", "look-up", entries(named), false)));
+        }
+    }
+
+    private static List<Entry> entries(Set<Integer> named) {
+        return named.stream().sorted().map(n -> RosterTest.entry("w" + n, State.SERVING, 0)).toList();
+    }
+
+    @Provide
+    Arbitrary<List<Happening>> happenings() {
+        Arbitrary<Set<Integer>> named = Arbitraries.integers().between(0, NODES - 1).set().ofMaxSize(NODES);
+        return Combinators.combine(Arbitraries.integers().between(0, 9), Arbitraries.integers().between(0, NODES - 1),
+                named, Arbitraries.integers().between(0, 25)).as(Happening::new).list().ofMaxSize(20);
+    }
+
+    /** No work for a node that the list drains, whatever DNS says; within 20 happenings of 25 s no tomb runs out. */
+    @Property(tries = 2000)
+    void whatTheListDrainsServesAtNoMoment(@ForAll("happenings") List<Happening> all) {
+        var world = new World();
+        all.forEach(world::happen);
+    }
+
+    /** Once the sources agree, the members are those they agree on, whatever went before. */
+    @Property(tries = 1000)
+    void membershipEndsEqualOnceSourcesAgree(@ForAll("happenings") List<Happening> all,
+            @ForAll("happenings") List<Happening> other) {
+        assertEquals(ending(all), ending(other));
+    }
+
+    private static List<String> ending(List<Happening> all) {
+        var world = new World();
+        all.forEach(world::happen);
+        Set<Integer> agreed = Set.of(0, 2, 3, 6);
+        world.listSays.keySet().forEach(k -> world.listSays.put(k, State.GONE));
+        agreed.forEach(n -> world.listSays.put("w" + n, State.SERVING));
+        for (int i = 0; i < 6; i++) {
+            world.carry(world.roster.take(world.now, new News.Whole("list", "whole", entries(agreed), true)));
+            world.dns(agreed);
+            world.pass(30 * SECOND);
+        }
+        var ids = new ArrayList<String>();
+        world.held.values().forEach(m -> ids.add(m.id() + " " + m.state()));
+        return ids;
+    }
+
+    /** Nothing is kept for nodes that went long ago. */
+    @Property(tries = 200)
+    void whatIsGoneIsForgotten(@ForAll("happenings") List<Happening> all) {
+        var world = new World();
+        all.forEach(world::happen);
+        world.listSays.clear();
+        for (int i = 0; i < 60; i++) {
+            world.carry(world.roster.take(world.now, new News.Whole("list", "whole", List.of(), true)));
+            world.dns(Set.of());
+            world.pass(60 * SECOND);
+        }
+        assertEquals(List.of(), world.roster.standings());
+        assertEquals(0, world.roster.nodesKept());
+    }
+}
--- /dev/null
+++ b/src/test/java/wallmoor/net/SourcesTest.java
@@ -0,0 +1,246 @@
+package wallmoor.net;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+import org.xbill.DNS.Type;
+import wallmoor.standin.DnsServer;
+
+/** The real program with several sources of nodes that disagree, fail or lie, while queries are out. */
+public class SourcesTest {
+    private static final String SERVICE = "_calendar._tcp.fleet.example";
+
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private StandIn.Discovery discovery;
+    private DnsServer dns;
+    private Program program;
+    private Path operator;
+
+    @Before
+    public void standIns() throws Exception {
+        discovery = new StandIn.Discovery();
+        dns = new DnsServer();
+        open.add(discovery);
+        open.add(dns);
+    }
+
+    @After
+    public void stop() throws Exception {
+        for (AutoCloseable o : open) {
+            o.close();
+        }
+    }
+
+    /** One that takes a few milliseconds, so that several queries need several nodes. */
+    private StandIn.Worker worker() throws IOException {
+        var worker = new StandIn.Worker(id -> {
+            try {
+                Thread.sleep(4);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return "ok";
+        });
+        open.add(worker);
+        return worker;
+    }
+
+    private void start(String age, String leaving) throws Exception {
+        operator = folder.newFile("operator.yaml").toPath();
+        write(dns.port(), age, leaving);
+        program = new Program(discovery.port(), "", operator);
+        open.add(program);
+    }
+
+    private void write(int port, String age, String leaving) throws IOException {
+        Files.writeString(operator, "sources:\n  dns:\n    servers: [\"127.0.0.1:" + port + "\"]\n    names: [{name: "
+                + SERVICE + "}]\n    least_ttl: 200ms\n    most_ttl: 1s\n    timeout: 200ms\n    most_age: " + age
+                + "\n    leaving: " + leaving + "\n");
+    }
+
+    private static String target(String host, StandIn at, int cell, String id) {
+        return host + ".example:" + at.port() + ":0:1:cell=" + cell + ",id=" + id;
+    }
+
+    private void awaitServing(String... ids) throws InterruptedException {
+        for (String id : ids) {
+            Program.await(id + " serving", () -> logged(id + " is SERVING"));
+        }
+    }
+
+    private boolean logged(String text) {
+        synchronized (program.log) {
+            return program.log.stream().anyMatch(l -> l.contains(text));
+        }
+    }
+
+    /** Queries until it is closed, several at once, as one alone would stay with one node; counts those not answered whole. */
+    private final class Load implements AutoCloseable {
+        final AtomicInteger asked = new AtomicInteger();
+        final AtomicInteger failed = new AtomicInteger();
+        private final AtomicBoolean over = new AtomicBoolean();
+        private final List<Thread> threads = new ArrayList<>();
+
+        Load(int... shards) {
+            for (int i = 0; i < 6; i++) {
+                threads.add(new Thread(() -> load(shards)));
+            }
+            threads.forEach(Thread::start);
+        }
+
+        private void load(int... shards) {
+            while (!over.get()) {
+                try {
+                    int status = Client.post(program.port, "l" + asked.incrementAndGet(), "all", 1900, shards).status;
+                    failed.addAndGet(status == 200 ? 0 : 1);
+                } catch (IOException e) {
+                    failed.incrementAndGet();
+                }
+            }
+        }
+
+        @Override
+        public void close() {
+            over.set(true);
+            try {
+                for (Thread t : threads) {
+                    t.join(10_000);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    @Test
+    public void aNodeThatTheListDrainsGetsNothingNewWhateverDnsSays() throws Exception {
+        var a = worker();
+        var b = worker();
+        dns.service(SERVICE, 0, target("n1", a, 0, "w1"), target("n2", b, 0, "w2"));
+        start("1h", "0.2");
+        awaitServing("w1", "w2");
+        Program.await("a watch", () -> discovery.count("GET /api/targets?stream=1") == 1);
+        try (var load = new Load(0)) {
+            Program.await("both used", () -> a.count("Q") > 5 && b.count("Q") > 5);
+            // the list has its own name for the machine that DNS calls w1, and both go on naming it
+            discovery.say("{\"revision\":43,\"complete\":false,\"members\":[" + a.member("s-5be2", 0, "DRAINING") + "]}");
+            Thread.sleep(2000);
+            long before = a.count("Q");
+            long look = dns.seen.size();
+            Program.await("DNS heard again, still naming it", () -> dns.seen.size() > look + 3);
+            assertEquals(before, a.count("Q"));
+            discovery.say("{\"revision\":44,\"complete\":false,\"members\":[" + a.member("s-5be2", 0, "DELETED") + "]}");
+            Thread.sleep(1500);
+            assertEquals("a record that outlives its node", before, a.count("Q"));
+            assertEquals("no query lost", 0, load.failed.get());
+        }
+        assertTrue(logged("w1 is DRAINING: its address 127.0.0.1:" + a.port() + " is s-5be2's, drained by list at revision 43"));
+    }
+
+    @Test
+    public void whenDnsDropsAllTheFleetGoesOn() throws Exception {
+        var a = worker();
+        var b = worker();
+        dns.service(SERVICE, 0, target("n1", a, 0, "w1"), target("n2", b, 0, "w2"));
+        start("1h", "0.2");
+        awaitServing("w1", "w2");
+        try (var load = new Load(0)) {
+            dns.absences(true, null);
+            dns.set(SERVICE, Type.SRV);
+            Program.await("several empty answers", () -> dns.seen.stream().filter(s -> s.endsWith("SRV")).count() > 6);
+            assertEquals(0, load.failed.get());
+            dns.service(SERVICE, 0, target("n1", a, 0, "w1"), target("n2", b, 0, "w2"));
+            Thread.sleep(500);
+            assertEquals(0, load.failed.get());
+        }
+    }
+
+    @Test
+    public void aRecordThatOutlivesItsNodeHoldsNoTrafficAndAMovedNameIsAnotherNode() throws Exception {
+        var a = worker();
+        var b = worker();
+        var c = worker();
+        var gone = worker();
+        dns.service(SERVICE, 0, target("n1", a, 0, "w1"), target("n2", b, 0, "w2"), target("n3", c, 1, "w3"),
+                target("n4", gone, 0, "w4"));
+        gone.close();
+        start("1h", "0.2");
+        awaitServing("w1", "w2", "w3", "w4");
+        try (var load = new Load(0, 1)) {
+            Program.await("held out", () -> logged("w4 is DRAINING: held out: can't be connected to"));
+            // the name n2 is given to a node of the other cell, at another address
+            var moved = worker();
+            dns.service(SERVICE, 0, target("n1", a, 0, "w1"), target("n2", moved, 1, "w9"), target("n3", c, 1, "w3"));
+            awaitServing("w9");
+            Program.await("the old one gone", () -> logged("w2 is DRAINING"));
+            Program.await("the new one used", () -> moved.count("Q") > 3);
+            Thread.sleep(300);
+            long before = b.count("Q");
+            Thread.sleep(500);
+            assertEquals(before, b.count("Q"));
+            synchronized (moved.seen) {
+                assertTrue("no part for a shard it does not hold", moved.seen.stream().filter(s -> s.startsWith("Q"))
+                        .allMatch(s -> s.split(" ")[1].equals("1")));
+            }
+            assertEquals(0, load.failed.get());
+        }
+    }
+
+    @Test
+    public void whenAllServersFailForLongerThanTheMostAgeItsNodesLeaveAndComeBack() throws Exception {
+        var a = worker();
+        dns.service(SERVICE, 0, target("n1", a, 0, "w1"));
+        start("2s", "1");
+        awaitServing("w1");
+        try (var load = new Load(0)) {
+            dns.fail(DnsServer.Fault.SERVFAIL);
+            Program.await("told why", () -> logged("SERVFAIL"));
+            assertEquals("the last good news stands", 0, load.failed.get());
+            Program.await("left", () -> logged("w1 is DRAINING: dns " + SERVICE + " not heard for longer than 2 s"));
+        }
+        long begun = System.nanoTime();
+        assertEquals("refused at once, not kept waiting", 503, Client.post(program.port, "r", "all", 1900, 0).status);
+        assertTrue(System.nanoTime() - begun < TimeUnit.SECONDS.toNanos(1));
+        dns.fail(DnsServer.Fault.NONE);
+        Program.await("served again", () -> {
+            try {
+                return Client.post(program.port, "s" + System.nanoTime(), "all", 1900, 0).status == 200;
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        });
+    }
+
+    @Test
+    public void theOperatorsFileIsReadAgainAndAFaultyOneChangesNothing() throws Exception {
+        var a = worker();
+        dns.service(SERVICE, 0, target("n1", a, 0, "w1"));
+        start("1h", "0.2");
+        awaitServing("w1");
+        Files.writeString(operator, "sources:\n  dsn: {}\n");
+        program.hangUp();
+        Program.await("the fault", () -> logged("line 2: sources.dsn: is unknown; did you mean dns?"));
+        assertEquals(200, Client.post(program.port, "q1", "all", 1900, 0).status);
+        try (var other = new DnsServer()) {
+            other.service(SERVICE, 0, target("n1", a, 0, "w1"), target("n2", worker(), 0, "w2"));
+            write(other.port(), "1h", "0.2");
+            program.hangUp();
+            awaitServing("w2");
+        }
+    }
+}
