Add an edge for devices over HTTP and CoAP: a query asked again runs once

Need: a device on a poor link loses its connection after a hold was sent, asks again, and must neither hold twice nor be left in doubt.

Change: exchange decides what an asking comes to (no I/O, no clock): attach, replay, conflict, forgotten by the age that the id itself tells (UUID version 7), room, eviction, a budget a device, places in a queue to come back by. edge runs it on the calendar nodes' gatherer; edge.http has ranges, pieces, zstd and gzip within bounds, long waits; edge.coap keeps blocks by device and id, so that a changed address goes on, and runs nothing for an address that has proven nothing. Devices by token, revoked within 2 s. device and devices on the command line. A failure now tells whether a part may have run.

--- a/src/main/java/wallmoor/Main.java
+++ b/src/main/java/wallmoor/Main.java
@@ -27,6 +27,11 @@
     /** The gatherer, once it is there to be told of a new configuration. */
     private static volatile Service service;
 
+    static { // named, the provider needs not be looked for in every library's jar, which a start on part of a core feels
+        System.setProperty("slf4j.provider", "wallmoor.log.Provider");
+        System.setProperty("slf4j.internal.verbosity", "WARN");
+    }
+
     private Main() {
     }
 
@@ -60,6 +65,7 @@
         Launch launch = Launch.read(System.getenv());
         Operator operator = Operator.read(System.getenv(), launch);
         Rehearsal.run(launch);
+        Rehearsal.load(launch, operator);
         Logging.apply(operator.logging());
         LoggerFactory.getLogger(Service.class).info("rehearsed for {}", launch.name());
     }
--- /dev/null
+++ b/src/main/java/wallmoor/config/EdgeConfig.java
@@ -0,0 +1,69 @@
+package wallmoor.config;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+
+/**
+ * The section {@code edge} of the operators' file: the front for devices on poor links. Times are milliseconds.
+ *
+ * @param devices     the file of devices
+ * @param http        where HTTP/1.1 is spoken, or null
+ * @param mostClients connections by HTTP at most: each that waits has two threads
+ * @param coap        where CoAP is spoken, or null
+ * @param grace       a query that may repeat is cancelled when nobody has waited for it for so long
+ * @param retain      the outcome of such a query is kept for so long
+ * @param window      the outcome of one that may not repeat is kept until its id is so old
+ * @param skew        devices' clocks may be off by so much
+ * @param open        queries without an outcome at most
+ * @param openEach    ... of one device
+ * @param memory      bytes for outcomes and uploads
+ * @param memoryEach  ... of one device
+ * @param asks        asks a second that a device may go on making
+ * @param burst       asks that it may make at once
+ * @param returns     devices a second that are told to come back
+ */
+public record EdgeConfig(Path devices, InetSocketAddress http, int mostClients, InetSocketAddress coap, long grace,
+        long retain, long window, long skew, int open, int openEach, long memory, long memoryEach, double asks, int burst,
+        double returns) {
+    private static final long DAY = 86_400_000;
+    private static final long MB = 1 << 20;
+
+    static EdgeConfig of(Section at, Path folder) {
+        boolean on = at.flag("enabled", true);
+        Path devices = folder.resolve(at.required("devices"));
+        Section http = at.section("http");
+        InetSocketAddress httpAt = listen(http);
+        int clients = http.whole("most_clients", 1000, 1, 20_000);
+        http.end();
+        Section coap = at.section("coap");
+        InetSocketAddress coapAt = listen(coap);
+        coap.end();
+        if (httpAt == null && coapAt == null) {
+            at.fault("http", "neither http.listen nor coap.listen is there");
+        }
+        int open = at.whole("open", 2000, 1, 20_000);
+        var config = new EdgeConfig(devices, httpAt, clients, coapAt, at.time("grace", 5_000, 0, 600_000),
+                at.time("retain", 600_000, 1_000, DAY), at.time("window", DAY, 1_000, 30 * DAY),
+                at.time("skew", 5_000, 0, 3_600_000), open, at.whole("open_per_device", Math.min(16, open), 1, open),
+                MB * at.whole("memory_mb", 64, 1, 16_384), MB * at.whole("memory_per_device_mb", 4, 1, 16_384),
+                at.decimal("asks_per_s", 5, 0.01, 10_000), at.whole("ask_burst", 40, 1, 10_000),
+                at.decimal("returns_per_s", 200, 0.1, 1_000_000));
+        if (config.memoryEach > config.memory) {
+            at.fault("memory_per_device_mb", "is more than memory_mb");
+        }
+        at.end();
+        return on ? config : null;
+    }
+
+    private static InetSocketAddress listen(Section at) {
+        if (!at.has("listen")) {
+            return null;
+        }
+        try {
+            return Launch.address("listen", at.text("listen", ""));
+        } catch (ConfigException e) {
+            at.fault("listen", "is not ADDRESS:PORT: " + at.text("listen", ""));
+            return null;
+        }
+    }
+}
--- a/src/main/java/wallmoor/core/Gatherer.java
+++ b/src/main/java/wallmoor/core/Gatherer.java
@@ -129,7 +129,7 @@
                     if (left <= 0) { // the module has failed it: its client still gets an answer
                         log.accept("query " + query.id + " is overdue");
                         round(() -> brain.onHangup(now, query.id));
-                        finish(query, new Step.Fail(true));
+                        finish(query, new Step.Fail(true, query.mayHaveRun()));
                     } else {
                         query.ready.await(left, TimeUnit.MICROSECONDS);
                     }
@@ -233,6 +233,7 @@
         due.removeIf(t -> t.attempt == a);
         a.query.gaveUp |= a.calledOff && a.query.end == null;
         boolean closed = a.query.end != null;
+        a.query.ran |= !outcome.code.neverRan;
         if (outcome == Outcome.SERVED && !closed) {
             a.part.value = value;
         }
@@ -496,7 +497,7 @@
         public void fail(String query) {
             Query q = queries.get(query);
             if (q != null) {
-                finish(q, new Step.Fail(late(q)));
+                finish(q, new Step.Fail(late(q), q.mayHaveRun()));
             }
         }
 
--- a/src/main/java/wallmoor/core/Query.java
+++ b/src/main/java/wallmoor/core/Query.java
@@ -36,6 +36,9 @@
     /** Whether an attempt was called off unanswered before the end. */
     boolean gaveUp;
 
+    /** Whether an attempt has ended otherwise than by proof that it never ran. */
+    boolean ran;
+
     Query(String id, long deadline, Object carries, Condition ready) {
         this.id = id;
         this.deadline = deadline;
@@ -63,6 +66,11 @@
         return parts.stream().anyMatch(p -> p.attempts > 0);
     }
 
+    /** Whether any part may have run, or may yet: what is out may be with its worker already. */
+    boolean mayHaveRun() {
+        return ran || !out.isEmpty();
+    }
+
     Part part(String partId) {
         for (Part p : parts) {
             if (p.id.equals(partId)) {
--- a/src/main/java/wallmoor/core/Step.java
+++ b/src/main/java/wallmoor/core/Step.java
@@ -30,8 +30,13 @@
     record Refuse(long comeBackAfter, boolean tried, boolean late) implements Final {
     }
 
-    /** Given up, with no promise about what has run; {@code late}: workers had been waited for in vain. */
-    record Fail(boolean late) implements Final {
+    /**
+     * Given up.
+     *
+     * @param late whether workers had been waited for in vain
+     * @param ran  whether any part may have run, or may yet
+     */
+    record Fail(boolean late, boolean ran) implements Final {
     }
 
     /** The client has gone: nobody waits for an answer. */
--- a/src/main/java/wallmoor/dns/Resolver.java
+++ b/src/main/java/wallmoor/dns/Resolver.java
@@ -51,10 +51,14 @@
         this.clock = clock;
     }
 
-    /** Looks up, from the cache while that is good. Gives up at {@code deadline}, on this resolver's clock. */
-    Found find(Name name, int type, long deadline) {
+    /**
+     * Looks up, from the cache while that is good. Gives up at {@code deadline}, on this resolver's clock.
+     *
+     * @param anew servers are asked, whatever the cache holds
+     */
+    Found find(Name name, int type, long deadline, boolean anew) {
         Found fresh = cache.fresh(clock.getAsLong(), name, type);
-        if (fresh != null) {
+        if (fresh != null && !anew) {
             return fresh;
         }
         Found found = ask(name, type, deadline);
--- a/src/main/java/wallmoor/dns/Services.java
+++ b/src/main/java/wallmoor/dns/Services.java
@@ -25,6 +25,8 @@
     /** Look-ups at once: more would be a burst that servers drop. */
     private static final int AT_ONCE = 8;
     private static final int MOST_TEXT = 32;
+    /** Readings after the first at most, for what has changed. */
+    private static final int MOST_READINGS = 3;
 
     /** What came of it. */
     public sealed interface Result {
@@ -55,23 +57,32 @@
     private final Resolver resolver;
     private final int mostRecords;
     private final boolean withText;
+    private final boolean confirms;
     private final LongSupplier clock;
+    /** Targets as they were believed last, without their lifetimes. */
+    private Set<String> accepted = Set.of();
 
     /**
      * Makes it.
      *
      * @param mostRecords an answer with more is not used
      * @param withText    whether TXT records are wanted
+     * @param confirms    whether what changed is to be read twice before it is believed
      * @param clock       the resolver's
      */
-    Services(Resolver resolver, int mostRecords, boolean withText, LongSupplier clock) {
+    Services(Resolver resolver, int mostRecords, boolean withText, boolean confirms, LongSupplier clock) {
         this.resolver = resolver;
         this.mostRecords = mostRecords;
         this.withText = withText;
+        this.confirms = confirms;
         this.clock = clock;
     }
 
-    /** Looks a service up; gives up after so many milliseconds. */
+    /**
+     * Looks a service up; gives up after so many milliseconds. A target that has changed in any way is believed only when
+     * two readings of all its records from servers agree: SRV, address and TXT are read one after another, and one that
+     * moved between two readings would else have the port of one node and the identity of another.
+     */
     Result find(String service, long millis) {
         long deadline = clock.getAsLong() + millis;
         Name name;
@@ -80,7 +91,42 @@
         } catch (TextParseException e) {
             return new Result.Failed(service + " is no name: " + e.getMessage());
         }
-        Found found = resolver.find(name, Type.SRV, deadline);
+        Result first = read(name, deadline, Set.of());
+        if (!confirms || !(first instanceof Result.Offered last)) {
+            return first;
+        }
+        Set<String> open = changed(last);
+        for (int i = 0; i < MOST_READINGS && !open.isEmpty(); i++) {
+            if (!(read(name, deadline, open) instanceof Result.Offered next)) {
+                break; // what changed stays unconfirmed
+            }
+            var agreed = new HashSet<>(next.targets().stream().map(Target::facts).toList());
+            agreed.retainAll(last.targets().stream().map(Target::facts).toList());
+            open = changed(next);
+            open.removeIf(n -> next.targets().stream().filter(t -> t.name().equals(n)).allMatch(t -> agreed.contains(t.facts())));
+            last = next;
+        }
+        return believed(last, open);
+    }
+
+    private Set<String> changed(Result.Offered offered) {
+        Set<String> changed = new HashSet<>();
+        offered.targets().stream().filter(t -> !accepted.contains(t.facts())).forEach(t -> changed.add(t.name()));
+        return changed;
+    }
+
+    private Result believed(Result.Offered offered, Set<String> open) {
+        var targets = new ArrayList<>(offered.targets());
+        targets.removeIf(t -> open.contains(t.name()));
+        var faults = new ArrayList<>(offered.faults());
+        open.stream().sorted().forEach(n -> faults.add(n + ": its records are changing, and not believed yet"));
+        accepted = Set.copyOf(targets.stream().map(Target::facts).toList());
+        return new Result.Offered(List.copyOf(targets), List.copyOf(faults), open.isEmpty() ? offered.lifetime() : 1);
+    }
+
+    /** One reading; the service and these targets are asked of servers, the rest may come from the cache. */
+    private Result read(Name name, long deadline, Set<String> anew) {
+        Found found = resolver.find(name, Type.SRV, deadline, !anew.isEmpty());
         if (found instanceof Found.None none) {
             return new Result.None(none.why(), none.lifetime());
         }
@@ -97,10 +143,10 @@
         if (records.records().size() == 1 && ((SRVRecord) records.records().get(0)).getTarget().equals(Name.root)) {
             return new Result.NotOffered(records.lifetime());
         }
-        return targets(records, deadline);
+        return targets(records, deadline, anew);
     }
 
-    private Result targets(Found.Records found, long deadline) {
+    private Result targets(Found.Records found, long deadline, Set<String> anew) {
         List<Record> records = found.records();
         var targets = new Target[records.size()];
         var faults = new String[records.size()];
@@ -111,7 +157,7 @@
                 for (int i = next.getAndIncrement(); i < targets.length; i = next.getAndIncrement()) {
                     var srv = (SRVRecord) records.get(i);
                     try {
-                        targets[i] = target(srv, found.lifetime(), deadline);
+                        targets[i] = target(srv, found.lifetime(), deadline, anew.contains(plain(srv.getTarget())));
                     } catch (Unusable | RuntimeException e) {
                         faults[i] = plain(srv.getTarget()) + ": " + e.getMessage();
                     }
@@ -152,14 +198,14 @@
         }
     }
 
-    private Target target(SRVRecord srv, long lifetime, long deadline) throws Unusable {
+    private Target target(SRVRecord srv, long lifetime, long deadline, boolean anew) throws Unusable {
         if (srv.getTarget().equals(Name.root) || srv.getPort() == 0) {
             throw new Unusable("no target, or no port, beside others that are");
         }
         long ttl = lifetime;
-        Found at = resolver.find(srv.getTarget(), Type.A, deadline);
+        Found at = resolver.find(srv.getTarget(), Type.A, deadline, anew);
         if (at instanceof Found.None) {
-            at = resolver.find(srv.getTarget(), Type.AAAA, deadline);
+            at = resolver.find(srv.getTarget(), Type.AAAA, deadline, anew);
         }
         if (!(at instanceof Found.Records addresses)) {
             throw new Unusable(at instanceof Found.None none ? "no address: " + none.why()
@@ -168,19 +214,23 @@
         ttl = Math.min(ttl, addresses.lifetime());
         Map<String, String> text = Map.of();
         if (withText) {
-            Found told = resolver.find(srv.getTarget(), Type.TXT, deadline);
-            if (told instanceof Found.Failure failure) { // who it is stays open: a guess would make it another node
+            Found said = resolver.find(srv.getTarget(), Type.TXT, deadline, anew);
+            if (said instanceof Found.Failure failure) { // who it is stays open: a guess would make it another node
                 throw new Unusable("its TXT record can't be had: " + failure.why());
             }
-            if (told instanceof Found.Records t) {
+            if (said instanceof Found.Records t) {
                 text = text(t.records());
                 ttl = Math.min(ttl, t.lifetime());
             } else {
-                ttl = Math.min(ttl, ((Found.None) told).lifetime());
+                ttl = Math.min(ttl, ((Found.None) said).lifetime());
             }
         }
-        return new Target(plain(srv.getTarget()), addresses(addresses.records()), srv.getPort(), srv.getPriority(),
-                srv.getWeight(), text, ttl);
+        List<String> places = addresses(addresses.records());
+        String claimed = text.get("at");
+        if (claimed != null && places.stream().noneMatch(a -> Target.hostPort(a, srv.getPort()).equals(claimed))) {
+            throw new Unusable("its TXT record speaks of " + claimed + ", and its SRV record and address of another place");
+        }
+        return new Target(plain(srv.getTarget()), places, srv.getPort(), srv.getPriority(), srv.getWeight(), text, ttl);
     }
 
     static String plain(Name name) {
--- a/src/main/java/wallmoor/dns/Target.java
+++ b/src/main/java/wallmoor/dns/Target.java
@@ -14,6 +14,11 @@
 public record Target(String name, List<String> addresses, int port, int priority, int weight,
         Map<String, String> text, long ttl) {
 
+    /** All but the lifetime, as a text that is equal where they are. */
+    String facts() {
+        return name + " " + addresses + " " + port + " " + priority + " " + weight + " " + new java.util.TreeMap<>(text);
+    }
+
     /** A host as it stands in HOST:PORT. */
     public static String hostPort(String address, int port) {
         return (address.indexOf(':') >= 0 ? "[" + address + "]" : address) + ":" + port;
--- a/src/main/java/wallmoor/http/HttpOut.java
+++ b/src/main/java/wallmoor/http/HttpOut.java
@@ -8,6 +8,9 @@
 /** Writes HTTP/1.1 messages, each with its length and in one write. */
 public final class HttpOut {
     private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(200, "OK"),
+            Map.entry(202, "Accepted"), Map.entry(206, "Partial Content"), Map.entry(401, "Unauthorized"),
+            Map.entry(409, "Conflict"), Map.entry(410, "Gone"), Map.entry(415, "Unsupported Media Type"),
+            Map.entry(416, "Range Not Satisfiable"),
             Map.entry(400, "Bad Request"), Map.entry(404, "Not Found"), Map.entry(405, "Method Not Allowed"),
             Map.entry(406, "Not Acceptable"), Map.entry(408, "Request Timeout"),
             Map.entry(413, "Content Too Large"), Map.entry(414, "URI Too Long"),
--- a/src/main/java/wallmoor/http/Server.java
+++ b/src/main/java/wallmoor/http/Server.java
@@ -25,6 +25,27 @@
         void handle(Message request, Exchange exchange) throws IOException, HttpProblem, InterruptedException;
     }
 
+    /**
+     * How long connections are borne, in milliseconds.
+     *
+     * @param first    a connection's first request must be whole within this time of connecting
+     * @param request  a later one within this time of its first byte
+     * @param silent   one that has said nothing for so long has nothing to say
+     * @param idle     between requests, where an eighth of the connections there may be are open
+     * @param pressed  ... and where a quarter are
+     * @param atEase   ... and where there are fewer
+     * @param makeRoom at the cap a silent one makes room after so long
+     * @param half     ... and one whose first request is not whole
+     */
+    public record Patience(long first, int request, long silent, long idle, long pressed, long atEase, long makeRoom,
+            long half) {
+        /** With clients on the platform's network. */
+        public static final Patience SHORT = new Patience(FIRST_MILLIS, REQUEST_MILLIS, SILENT_MILLIS, IDLE_MILLIS,
+                IDLE_PRESSED_MILLIS, IDLE_AT_EASE_MILLIS, MAKE_ROOM_MILLIS, HALF_MILLIS);
+        /** With devices on poor links, where a round trip may take seconds and a request come a packet at a time. */
+        public static final Patience LONG = new Patience(30_000, 30_000, 30_000, 60_000, 20_000, 120_000, 5_000, 10_000);
+    }
+
     private static final int BACKLOG = 256;
     private static final int BIND_TRIES = 20;
     /** A request that began to come in must be whole within this time. */
@@ -57,6 +78,7 @@
     private final String name;
     private final ServerSocket socket;
     private final int mostConnections;
+    private final Patience patience;
     private final Handler handler;
     private final Consumer<String> log;
     private final ThreadPoolExecutor work;
@@ -67,7 +89,14 @@
     /** Listens, unless the address is null; {@link #start} begins to serve. */
     public Server(String name, InetSocketAddress listen, int mostConnections, int mostWork, Handler handler,
             Consumer<String> log) throws IOException {
+        this(name, listen, mostConnections, mostWork, Patience.SHORT, handler, log);
+    }
+
+    /** The same with more or less patience. */
+    public Server(String name, InetSocketAddress listen, int mostConnections, int mostWork, Patience patience,
+            Handler handler, Consumer<String> log) throws IOException {
         this.name = name;
+        this.patience = patience;
         this.mostConnections = mostConnections;
         this.handler = handler;
         this.log = log;
@@ -118,7 +147,7 @@
         socket.close();
         while (!connections.isEmpty() && System.nanoTime() < until) {
             connections.forEach(c -> c.closeIf(Phase.IDLE, 0));
-            connections.forEach(c -> c.closeIf(Phase.SILENT, MAKE_ROOM_MILLIS));
+            connections.forEach(c -> c.closeIf(Phase.SILENT, patience.makeRoom()));
             connections.forEach(c -> c.closeIf(Phase.LEAVING, GOODBYE_MILLIS));
             Thread.sleep(20);
         }
@@ -153,8 +182,8 @@
      * a flood of silent connections must not take those of honest clients, who rest only between two requests.
      */
     private void makeRoom() {
-        boolean made = oldest(Phase.LEAVING, GOODBYE_MILLIS) || oldest(Phase.SILENT, MAKE_ROOM_MILLIS)
-                || oldest(Phase.IDLE, IDLE_PRESSED_MILLIS) || oldest(Phase.FIRST, HALF_MILLIS);
+        boolean made = oldest(Phase.LEAVING, GOODBYE_MILLIS) || oldest(Phase.SILENT, patience.makeRoom())
+                || oldest(Phase.IDLE, patience.pressed()) || oldest(Phase.FIRST, patience.half());
         pause(made ? 1 : 5);
     }
 
@@ -175,15 +204,15 @@
     private void watch() {
         while (true) {
             int held = connections.size();
-            long idle = held <= mostConnections / 8 ? IDLE_AT_EASE_MILLIS
-                    : held <= mostConnections / 4 ? IDLE_MILLIS : IDLE_PRESSED_MILLIS;
+            long idle = held <= mostConnections / 8 ? patience.atEase()
+                    : held <= mostConnections / 4 ? patience.idle() : patience.pressed();
             for (Connection c : connections) {
                 long writing = c.writingSince;
                 if (writing != 0 && System.nanoTime() - writing > TimeUnit.MILLISECONDS.toNanos(WRITE_MILLIS)) {
                     c.close();
                 }
                 c.closeIf(Phase.LEAVING, LINGER_MILLIS);
-                c.closeIf(Phase.SILENT, SILENT_MILLIS);
+                c.closeIf(Phase.SILENT, patience.silent());
                 c.closeIf(Phase.IDLE, idle);
             }
             try {
@@ -275,9 +304,9 @@
         /** How long the request at hand may take to come in. */
         private int patience() {
             long sinceOpen = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - openedAt);
-            int patience = first ? (int) Math.max(100, FIRST_MILLIS - sinceOpen) : REQUEST_MILLIS;
+            int left = first ? (int) Math.max(100, patience.first() - sinceOpen) : patience.request();
             first = false;
-            return patience;
+            return left;
         }
 
         private boolean serve(HttpIn in) throws IOException, InterruptedException {
--- a/src/main/java/wallmoor/log/Logging.java
+++ b/src/main/java/wallmoor/log/Logging.java
@@ -4,12 +4,14 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.JsonEncoder;
-import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.Configurator;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.spi.ThrowableProxyUtil;
 import ch.qos.logback.classic.turbo.TurboFilter;
 import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.LayoutBase;
 import ch.qos.logback.core.encoder.Encoder;
+import ch.qos.logback.core.encoder.LayoutWrappingEncoder;
 import ch.qos.logback.core.spi.ContextAwareBase;
 import ch.qos.logback.core.spi.FilterReply;
 import org.slf4j.LoggerFactory;
@@ -24,7 +26,21 @@
     /** Of lines of one form so many pass in ten seconds: a fault that repeats with each query must not be the load. */
     private static final int MOST_ALIKE = 20;
     private static final long PERIOD_MILLIS = 10_000;
-    private static final String READABLE = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level %logger{0}: %msg%n%nopex";
+
+    /** Readable lines. Logback's patterns would do, but reading one costs a start a tenth of a second on half a core. */
+    private static final class Readable extends LayoutBase<ILoggingEvent> {
+        @Override
+        public String doLayout(ILoggingEvent event) {
+            String logger = event.getLoggerName();
+            var line = new StringBuilder(128).append(event.getInstant()).append(' ').append(event.getLevel()).append(' ')
+                    .append(logger, logger.lastIndexOf('.') + 1, logger.length()).append(": ")
+                    .append(event.getFormattedMessage()).append('\n');
+            if (event.getThrowableProxy() != null) {
+                line.append(ThrowableProxyUtil.asString(event.getThrowableProxy()));
+            }
+            return line.toString();
+        }
+    }
 
     /** Drops lines that repeat too often, whatever their numbers and names. */
     private static final class Limit extends TurboFilter {
@@ -58,12 +74,17 @@
     /** How Logback calls it, by its service file. */
     @Override
     public ExecutionStatus configure(LoggerContext context) {
+        begin(context);
+        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+    }
+
+    /** What holds until a configuration is applied. */
+    static void begin(LoggerContext context) {
         var limit = new Limit();
         limit.setContext(context);
         limit.start();
         context.addTurboFilter(limit);
         setUp(context, false);
-        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
     }
 
     /** Applies a configuration; what it does not name has the level INFO. */
@@ -87,8 +108,11 @@
             lines.setWithMessage(false);
             encoder = lines;
         } else {
-            var lines = new PatternLayoutEncoder();
-            lines.setPattern(READABLE);
+            var layout = new Readable();
+            layout.setContext(context);
+            layout.start();
+            var lines = new LayoutWrappingEncoder<ILoggingEvent>();
+            lines.setLayout(layout);
             encoder = lines;
         }
         encoder.setContext(context);
--- a/src/main/java/wallmoor/platform/Platform.java
+++ b/src/main/java/wallmoor/platform/Platform.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.function.Consumer;
 import wallmoor.config.Launch;
@@ -18,14 +16,12 @@
 import wallmoor.http.Server;
 import wallmoor.http.Slice;
 import wallmoor.json.Json;
+import wallmoor.queries.QueryBody;
 
 /** The platform's front: queries by {@code POST /api}. */
 public final class Platform {
     /** Time kept back from the client's deadline for the answer's way and a busy machine (microseconds). */
     private static final long FOR_THE_WIRE = 10_000;
-    private static final int MOST_PARTS = 1000;
-    /** Weights add up to 1 but for their rounding. */
-    private static final double WEIGHT_SLACK = 0.01;
 
     private final Launch launch;
     private final Clock clock;
@@ -125,7 +121,13 @@
         long giveUp = launch.settings().classes().get(queryClass).giveUp();
         long wait = Math.min(deadline(request.header("X-Deadline")), giveUp);
         long deadline = Math.min(clock.at(request.begunAt()) + wait, lastAnswer) - FOR_THE_WIRE;
-        Query query = gatherer.open(id, queryClass, deadline, "1".equals(request.header("X-Retry")), asks(body),
+        List<Query.Ask> asks;
+        try {
+            asks = QueryBody.asks(body, launch.settings().layout().shards());
+        } catch (QueryBody.Bad e) {
+            throw new HttpProblem(400, e.getMessage());
+        }
+        Query query = gatherer.open(id, queryClass, deadline, "1".equals(request.header("X-Retry")), asks,
                 q.getBytes(java.nio.charset.StandardCharsets.UTF_8));
         if (query == null) {
             throw new HttpProblem(400, "X-Request-Id is in use");
@@ -149,15 +151,9 @@
     }
 
     private static byte[] hits(Step.Answer answer) {
-        var to = new StringBuilder(64 + 64 * answer.values().size());
-        to.append("{\"complete\":").append(answer.whole()).append(",\"hits\":[");
-        for (int i = 0; i < answer.values().size(); i++) {
-            Step.Value value = answer.values().get(i);
-            to.append(i == 0 ? "" : ",").append("{\"shard\":").append(value.shard()).append(",\"doc\":");
-            Json.quote(to, new String(value.bytes(), java.nio.charset.StandardCharsets.UTF_8));
-            to.append('}');
-        }
-        return to.append("]}").toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        var to = new StringBuilder(64 + 64 * answer.values().size()).append('{');
+        QueryBody.hits(to, answer);
+        return to.append('}').toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
     }
 
     private static byte[] text(String text) {
@@ -175,27 +171,4 @@
         }
         return micros;
     }
-
-    private List<Query.Ask> asks(Json.Obj body) throws HttpProblem {
-        List<?> shards = body.list("shards");
-        var asks = new ArrayList<Query.Ask>();
-        var seen = new HashSet<Integer>();
-        double sum = 0;
-        for (Object entry : shards == null ? List.of() : shards) {
-            if (!(entry instanceof Json.Obj part) || !(part.get("shard") instanceof Long shard) || shard < 0
-                    || shard >= launch.settings().layout().shards() || !seen.add(shard.intValue())) {
-                throw new HttpProblem(400, "shards holds what is no part");
-            }
-            double weight = part.number("weight", -1);
-            if (!(weight > 0 && weight <= 1 + WEIGHT_SLACK) || asks.size() == MOST_PARTS) {
-                throw new HttpProblem(400, "shards holds a weight that is none, or too many parts");
-            }
-            sum += weight;
-            asks.add(new Query.Ask(shard.intValue(), weight, (long) part.number("cost", -1)));
-        }
-        if (asks.isEmpty() || Math.abs(sum - 1) > WEIGHT_SLACK) {
-            throw new HttpProblem(400, "shards is absent or empty, or its weights don't add up to 1");
-        }
-        return asks;
-    }
 }
--- /dev/null
+++ b/src/main/java/wallmoor/service/Edge.java
@@ -0,0 +1,74 @@
+package wallmoor.service;
+
+import java.io.IOException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wallmoor.config.EdgeConfig;
+import wallmoor.config.Launch;
+import wallmoor.core.Clock;
+import wallmoor.edge.Desk;
+import wallmoor.edge.Devices;
+import wallmoor.edge.coap.EdgeCoap;
+import wallmoor.edge.http.EdgeHttp;
+import wallmoor.exchange.Rules;
+
+/** The edge: two wires, one desk behind them, on the calendar nodes' gatherer and connections. */
+final class Edge {
+    private static final int MOST_OUTCOME = 64 * 1024;
+    private static final long MICROS = 1000;
+
+    private final Logger log = LoggerFactory.getLogger(Edge.class);
+    private final EdgeConfig config;
+    private final Devices devices;
+    private final Desk desk;
+    private final EdgeHttp http;
+    private final EdgeCoap coap;
+
+    Edge(EdgeConfig config, Launch launch, Clock clock, CalendarNodes nodes) throws IOException {
+        this.config = config;
+        devices = new Devices(config.devices());
+        var rules = new Rules(config.grace() * MICROS, config.retain() * MICROS, config.window() * MICROS,
+                config.skew() * MICROS, 60_000 * MICROS, config.openEach(), config.open(), Integer.MAX_VALUE,
+                config.memory(), config.memoryEach(), MOST_OUTCOME, config.asks(), config.burst(), config.returns(),
+                1_000 * MICROS, 30_000 * MICROS);
+        desk = new Desk(rules, launch, nodes.gatherer(), nodes.workers(), clock);
+        http = config.http() == null ? null
+                : new EdgeHttp(config.http(), config.mostClients(), launch, desk, devices, log::info);
+        coap = config.coap() == null ? null : new EdgeCoap(config.coap(), launch, desk, devices);
+    }
+
+    void start() {
+        devices.start();
+        desk.start();
+        if (http != null) {
+            http.start();
+            log.info("edge on http {}", config.http());
+        }
+        if (coap != null) {
+            coap.start();
+            log.info("edge on coap {}", config.coap());
+        }
+    }
+
+    /** Takes and answers for so long what comes; what is out is answered before the end. */
+    void leave(long handOverMillis, long finishMillis) throws IOException, InterruptedException {
+        desk.leave(handOverMillis + finishMillis);
+        var second = new Thread(() -> {
+            try {
+                if (coap != null) {
+                    coap.leave(handOverMillis + finishMillis);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "leave-coap");
+        second.start();
+        if (http != null) {
+            http.leave(handOverMillis, finishMillis);
+        }
+        second.join();
+        var held = desk.held();
+        log.info("edge left with {} queries out and {} outcomes that are not kept beyond this process", held.open(),
+                held.retained());
+    }
+}
--- a/src/main/java/wallmoor/service/Rehearsal.java
+++ b/src/main/java/wallmoor/service/Rehearsal.java
@@ -18,6 +18,8 @@
 import wallmoor.http.HttpIn;
 import wallmoor.http.HttpProblem;
 import wallmoor.http.Threads;
+import wallmoor.membership.Entry;
+import wallmoor.membership.News;
 import wallmoor.platform.Platform;
 
 /**
@@ -65,6 +67,27 @@
         }
     }
 
+    /** For the archive alone: uses once what a start needs beyond the way of a query, above all what news of nodes needs. */
+    public static void load(Launch launch, wallmoor.config.Operator operator) {
+        CalendarNodes nodes = null;
+        try {
+            nodes = CalendarNodes.of(launch, new Clock(), operator);
+            var entries = List.of(new Entry("a", "127.0.0.1:1", 0, 0, 0, Member.State.SERVING, 1, 0, 0),
+                    new Entry("b", "127.0.0.1:2", 0, 0, 0, Member.State.DRAINING, 1, 0, 0));
+            nodes.membership().take(new News.Whole("list", "1", entries, true));
+            nodes.membership().take(new News.Whole("list", "2", entries.subList(0, 1), true));
+            nodes.membership().take(new News.Changes("list", "3", entries));
+            nodes.membership().take(new News.Same("list"));
+            nodes.membership().take(new News.Failed("list", "rehearsed"));
+        } catch (wallmoor.json.Json.Malformed | RuntimeException e) {
+            // the archive holds a little less
+        } finally {
+            if (nodes != null) {
+                nodes.close();
+            }
+        }
+    }
+
     private static byte[] query(Launch launch, int i) {
         int shards = launch.settings().layout().shards();
         int parts = Math.min(shards, 1 + i % 9);
--- a/src/main/java/wallmoor/service/Service.java
+++ b/src/main/java/wallmoor/service/Service.java
@@ -31,6 +31,7 @@
     private final CalendarNodes nodes;
     private final Platform platform;
     private final Features features;
+    private final Edge edge;
 
     /** Makes it; its fronts listen from now on, and answer from {@link #start} on. */
     public Service(Launch launch, Operator operator) throws IOException, Json.Malformed {
@@ -41,6 +42,7 @@
         Consumer<String> platformLog = LoggerFactory.getLogger(Platform.class)::info;
         platform = new Platform(launch, clock, nodes.gatherer(), nodes.workers(), platformLog);
         features = operator.ogc() == null ? null : features(clock);
+        edge = operator.edge() == null ? null : new Edge(operator.edge(), launch, clock, nodes);
     }
 
     private Features features(Clock clock) throws IOException {
@@ -56,6 +58,9 @@
             features.start();
             log.info("features on {}", operator.ogc().listen());
         }
+        if (edge != null) {
+            edge.start();
+        }
         platform.ready(true);
         log.info("serving as {} on {}", launch.name(), launch.listen());
     }
@@ -102,9 +107,16 @@
             }
         }, "leave-ogc");
         second.start();
+        var third = new Thread(() -> {
+            if (edge != null) {
+                leave(edge::leave, handOver, end - handOver);
+            }
+        }, "leave-edge");
+        third.start();
         leave(platform::leave, handOver, end - handOver);
         try {
             second.join(LONGEST_MILLIS + 2 * HAND_OVER_MILLIS);
+            third.join(LONGEST_MILLIS + 2 * HAND_OVER_MILLIS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/wallmoor/sources/Membership.java
+++ b/src/main/java/wallmoor/sources/Membership.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -29,6 +30,7 @@
 public final class Membership {
     /** Changes handed on under one hold of the gatherer's lock: some tens of microseconds. */
     private static final int AT_ONCE = 32;
+    private static final long PAUSE_NANOS = 100_000;
     private static final long CHECK_MILLIS = 1_000;
     private static final int CONNECT_MILLIS = 250;
     private static final long LONGEST_SLEEP_MILLIS = 1_000;
@@ -144,6 +146,9 @@
             gatherer.members(false, ordered.subList(0, Math.min(AT_ONCE, ordered.size())));
         }
         for (int from = list ? AT_ONCE : 0; from < ordered.size(); from += AT_ONCE) {
+            if (from > 0) { // the lock is not a fair one: whoever waits for it would not get it in between
+                LockSupport.parkNanos(PAUSE_NANOS);
+            }
             gatherer.joined(ordered.subList(from, Math.min(ordered.size(), from + AT_ONCE)));
         }
     }
--- a/src/test/java/wallmoor/LayersTest.java
+++ b/src/test/java/wallmoor/LayersTest.java
@@ -27,11 +27,18 @@
             entry("inventory", "sources", "membership", "core", "config", "http", "decision"),
             entry("dns", "sources", "membership", "core", "config", "http"),
             entry("frames", "core", "config", "http"),
-            entry("platform", "core", "config", "http", "json"),
+            entry("platform", "queries", "core", "config", "http", "json"),
+            entry("queries", "core", "json"),
+            // decides on devices' queries: no I/O, and nothing of the core
+            entry("exchange"),
+            entry("edge", "exchange", "queries", "core", "config", "http", "json", "decision"),
+            entry("edge.http", "edge", "exchange", "queries", "config", "http"),
+            entry("edge.coap", "edge", "exchange", "queries", "config"),
             entry("ogc", "sources", "inventory", "membership", "core", "config", "http", "json", "decision"),
-            entry("service", "platform", "ogc", "frames", "discovery", "inventory", "dns", "sources", "membership",
+            entry("service", "edge", "edge.http", "edge.coap", "exchange", "platform", "ogc", "frames", "discovery", "inventory", "dns", "sources", "membership",
                     "core", "config", "http", "json", "log", "decision"),
-            entry("cli", "service", "inventory", "dns", "membership", "config", "json"));
+            entry("client"),
+            entry("cli", "client", "edge", "service", "inventory", "dns", "membership", "config", "json"));
 
     private static Map.Entry<String, Set<String>> entry(String name, String... uses) {
         return Map.entry(name, Set.of(uses));
@@ -46,9 +53,9 @@
         }
         assertTrue(files.size() > 30);
         for (Path file : files) {
-            String own = file.getParent().getFileName().toString();
+            String own = root.relativize(file.getParent()).toString().replace(java.io.File.separatorChar, '.');
             var used = new TreeSet<String>();
-            Matcher m = Pattern.compile("wallmoor\\.([a-z]+)\\.[A-Z]").matcher(Files.readString(file));
+            Matcher m = Pattern.compile("wallmoor\\.([a-z]+(?:\\.[a-z]+)?)\\.[A-Z]").matcher(Files.readString(file));
             while (m.find()) {
                 used.add(m.group(1));
             }
@@ -73,7 +80,7 @@
     @Test
     public void whatDecidesDoesNoInputOrOutput() throws Exception {
         var forbidden = Pattern.compile("java\\.(io|net|nio\\.(file|channels))|System\\.(nano|current|out|err)|Thread|Instant|slf4j");
-        for (String decides : List.of("decision", "membership")) {
+        for (String decides : List.of("decision", "membership", "exchange")) {
             try (var files = Files.list(Path.of("src/main/java/wallmoor", decides))) {
                 String text = files.map(LayersTest::read).collect(Collectors.joining());
                 assertEquals(decides, List.of(), forbidden.matcher(text).results().map(r -> r.group()).toList());
--- a/src/test/java/wallmoor/cli/ResolveTest.java
+++ b/src/test/java/wallmoor/cli/ResolveTest.java
@@ -148,6 +148,24 @@
         dns.set("n1.example", Type.A, Record.newRecord(records.get(0).getName(), Type.A, DClass.IN));
     }
 
+    @Test
+    public void membersAreShownWithTheirCauses() throws Exception {
+        Path operator = folder.newFile("members.yaml").toPath();
+        String file = "sources:\n  list: {enabled: false}\n  dns: {servers: [\"127.0.0.1:" + dns.port() + "\"], names: [{name: "
+                + SERVICE + "}], timeout: 100ms}\n";
+        Files.writeString(operator, file);
+        String[] ask = {"members", "--config", "example/config.json", "--operator", operator.toString(), "--wait", "5", "--json"};
+        assertEquals(err, 0, run(ask));
+        assertEquals(out, 3, out.lines().count());
+        assertTrue(out, out.startsWith("{\"node\":\"n2.example:9002/127.0.0.1\",\"address\":\"127.0.0.1:9002\",\"cell\":1,\"size\":0.8"
+                + ",\"state\":\"SERVING\",\"cause\":\"named by dns " + SERVICE + " at look-up 1\"}"));
+        assertTrue("tier 20 stands by: " + out, out.contains("stands by in tier 20: tier 10 serves cell 1"));
+        dns.fail(Fault.SILENT);
+        ask[6] = "1";
+        assertEquals("a source that could not be heard", 4, run(ask));
+        assertTrue(err, err.contains("dns " + SERVICE + ": 0 nodes, never heard: "));
+    }
+
     @Test
     public void badUsageAndBadFilesAreExitCodeTwo() throws Exception {
         assertEquals(2, run("resolve", "--server", "nowhere", SERVICE));
--- a/src/test/java/wallmoor/net/SourcesTest.java
+++ b/src/test/java/wallmoor/net/SourcesTest.java
@@ -226,6 +226,26 @@
         });
     }
 
+    @Test
+    public void theLogIsJsonLinesWhereThatIsSet() throws Exception {
+        operator = folder.newFile("operator.yaml").toPath();
+        Files.writeString(operator, "logging: {format: json, levels: {service: warn}}\n");
+        var a = worker();
+        program = new Program(discovery.port(), a.member("a", 0, "SERVING"), operator);
+        open.add(program);
+        Program.await("a watch", () -> discovery.count("GET /api/targets?stream=1") == 1);
+        Thread.sleep(100);
+        discovery.say("{\"revision\":43,\"complete\":false,\"members\":[" + a.member("a", 0, "DRAINING") + "]}");
+        Program.await("the change", () -> logged("DRAINING"));
+        var json = new com.fasterxml.jackson.databind.ObjectMapper();
+        for (String line : List.copyOf(program.log)) {
+            var event = json.readTree(line);
+            assertTrue(line, event.has("timestamp") && event.has("level") && event.has("formattedMessage"));
+            assertTrue("below its level: " + line, !event.get("loggerName").asText().contains("Service"));
+        }
+        assertTrue("what is said of a node is there by name", logged("\"node\":\"a\""));
+    }
+
     @Test
     public void theOperatorsFileIsReadAgainAndAFaultyOneChangesNothing() throws Exception {
         var a = worker();
--- a/src/test/java/wallmoor/net/StandIn.java
+++ b/src/test/java/wallmoor/net/StandIn.java
@@ -75,6 +75,10 @@
     /** A worker: {@code answer} turns a part's id into END, or into null for silence, or "break" or "garbage". */
     static final class Worker extends StandIn {
         final Function<String, String> answer;
+        /** What stands behind each value. */
+        volatile String value = "";
+        /** Told what each part carries, as its frame has come. */
+        volatile java.util.function.Consumer<String> onPart = text -> { };
 
         Worker(Function<String, String> answer) throws IOException {
             this.answer = answer;
@@ -92,6 +96,7 @@
                     continue;
                 }
                 String id = text.substring(1).split(" ")[0];
+                onPart.accept(text.substring(text.indexOf('\n') + 1));
                 String end = answer.apply(id);
                 if ("break".equals(end)) {
                     return;
@@ -104,7 +109,7 @@
                     id = "not-" + id;
                     end = "ok";
                 }
-                byte[] reply = ("garbage".equals(end) ? "?" : "A" + id + " " + end.replace("twice", "ok") + " 7 -\nv" + asked)
+                byte[] reply = ("garbage".equals(end) ? "?" : "A" + id + " " + end.replace("twice", "ok") + " 7 -\nv" + asked + value)
                         .getBytes(StandardCharsets.ISO_8859_1);
                 var out = new java.io.ByteArrayOutputStream();
                 if ("short".equals(end)) { // its length says more than comes
--- /dev/null
+++ b/src/test/java/wallmoor/net/Storm.java
@@ -0,0 +1,207 @@
+package wallmoor.net;
+
+import com.fasterxml.uuid.Generators;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import wallmoor.client.CoapDevice;
+import wallmoor.client.HttpDevice;
+import wallmoor.client.Pace;
+import wallmoor.client.Result;
+import wallmoor.edge.Ask;
+import wallmoor.standin.DatagramProxy;
+import wallmoor.standin.LinkProxy;
+import wallmoor.standin.LinkProxy.Fate;
+
+/**
+ * Many devices with queries of all classes over links that break, at the real program; runs are counted at the stand-in
+ * node by what each query carries. Beside it the plain front, asked by the same devices over the same links.
+ */
+final class Storm implements AutoCloseable {
+    private static final String[] CLASSES = {"any", "all", "once"};
+
+    /** What came of it. */
+    record Tally(int asked, int answered, int refused, int failed, int notLearnt, int holdsRun, int holdsRunTwice,
+            int bodiesDiffer, int linksCut, int datagramsLost, long[] millis) {
+        long percentile(double share) {
+            return millis.length == 0 ? -1 : millis[(int) Math.min(millis.length - 1, share * millis.length)];
+        }
+    }
+
+    private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+    private final StandIn.Worker node;
+    private final StandIn.Discovery discovery = new StandIn.Discovery();
+    private final Program program;
+    private final int http;
+    private final int coap;
+    private final int devices;
+
+    Storm(int devices) throws Exception {
+        this.devices = devices;
+        node = new StandIn.Worker(id -> {
+            try {
+                Thread.sleep(5);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return "ok";
+        });
+        node.onPart = text -> runs.computeIfAbsent(text, t -> new AtomicInteger()).incrementAndGet();
+        Path folder = Files.createTempDirectory("storm");
+        var rows = new StringBuilder("device,sha256\n");
+        for (int d = 0; d < devices; d++) {
+            rows.append("d").append(d).append(',').append(HexFormat.of().formatHex(Ask.sha256(token(d).getBytes()))).append('\n');
+        }
+        Files.writeString(folder.resolve("devices.csv"), rows);
+        http = Program.freePort();
+        coap = Program.freePort();
+        Path operator = folder.resolve("operator.yaml");
+        Files.writeString(operator, "edge:\n  devices: devices.csv\n  http: {listen: 127.0.0.1:" + http + "}\n  coap: {listen: 127.0.0.1:"
+                + coap + "}\n  skew: 50ms\n  asks_per_s: 100\n  ask_burst: 1000\n  open_per_device: 32\n");
+        program = new Program(discovery.port(), node.member("a", 0, "SERVING"), operator);
+        Thread.sleep(150);
+    }
+
+    private static String token(int device) {
+        return "d" + device + ".secret" + device;
+    }
+
+    /** A fate by the share of links that break: cut on either way, or gone silent. */
+    private static LinkProxy.Script fates(double share) {
+        return (number, random) -> random.nextDouble() >= share ? Fate.GOOD : switch (random.nextInt(8)) {
+            case 0, 1, 2 -> new Fate(random.nextInt(600), -1, 0, 0, false);
+            case 3, 4, 5, 6 -> new Fate(-1, random.nextInt(400), 0, 0, false);
+            default -> new Fate(-1, random.nextInt(300), 0, 0, true);
+        };
+    }
+
+    /** Over the edge, half the devices on HTTP and half on CoAP. */
+    Tally edge(int queriesEach, double share, long seed, int atOnce) throws Exception {
+        var tally = new ConcurrentLinkedQueue<Result>();
+        var millis = new ConcurrentLinkedQueue<Long>();
+        var differ = new AtomicInteger();
+        runs.clear();
+        try (var links = new LinkProxy(http, seed, fates(share));
+                var datagrams = new DatagramProxy(coap, seed, share / 2, share / 3, share / 3)) {
+            each(atOnce, d -> {
+                var random = new Random((seed * 7919 + d) * 0x9E3779B97F4A7C15L);
+                try (var overCoap = d % 2 == 0 ? null : new CoapDevice(URI.create("coap://127.0.0.1:" + datagrams.port()),
+                        token(d), line -> { })) {
+                    var overHttp = new HttpDevice(URI.create("http://127.0.0.1:" + links.port()), token(d), d % 4 == 0, true,
+                            Duration.ofSeconds(3), line -> { });
+                    var straight = new HttpDevice(URI.create("http://127.0.0.1:" + http), token(d), false, true,
+                            Duration.ofSeconds(5), line -> { });
+                    for (int q = 0; q < queriesEach; q++) {
+                        String id = Generators.timeBasedEpochGenerator().generate().toString();
+                        byte[] query = query(CLASSES[random.nextInt(3)], d, q);
+                        long begun = System.nanoTime();
+                        var pace = new Pace(50, 1000, TimeUnit.NANOSECONDS.toMillis(begun) + 60_000);
+                        Result r = overCoap != null ? overCoap.ask(id, query, pace) : overHttp.ask(id, query, pace);
+                        millis.add(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun));
+                        tally.add(r);
+                        if (r.kind() != Result.Kind.NOT_LEARNT
+                                && !Arrays.equals(r.body(), straight.ask(id, null, pace).body())) {
+                            differ.incrementAndGet();
+                        }
+                    }
+                }
+            });
+            return tally(tally, millis, differ.get(), links.cuts.get(), datagrams.lost.get());
+        }
+    }
+
+    /** Over the plain front, as a client that knows no better: a query whose link broke is asked again, three times. */
+    Tally plain(int queriesEach, double share, long seed, int atOnce) throws Exception {
+        var tally = new ConcurrentLinkedQueue<Result>();
+        var millis = new ConcurrentLinkedQueue<Long>();
+        runs.clear();
+        try (var links = new LinkProxy(program.port, seed, fates(share))) {
+            each(atOnce, d -> {
+                var random = new Random((seed * 7919 + d) * 0x9E3779B97F4A7C15L);
+                for (int q = 0; q < queriesEach; q++) {
+                    String queryClass = CLASSES[random.nextInt(3)];
+                    long begun = System.nanoTime();
+                    Result.Kind kind = Result.Kind.NOT_LEARNT;
+                    for (int tries = 0; tries < 4 && kind == Result.Kind.NOT_LEARNT; tries++) {
+                        try (var client = new Client(links.port())) {
+                            client.socket.setSoTimeout(3000);
+                            String body = new String(query(queryClass, d, q));
+                            int status = client.send("POST /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + d + "-" + q + "-" + tries
+                                    + "\r\nX-Class: " + queryClass + "\r\nX-Deadline: 1900m\r\nContent-Length: " + body.length()
+                                    + "\r\n\r\n" + body).answer().status;
+                            kind = status == 200 ? Result.Kind.ANSWERED : status == 503 ? Result.Kind.REFUSED
+                                    : Result.Kind.FAILED_MAY_HAVE_RUN;
+                        } catch (IOException e) {
+                            // the link broke: what became of it is not known
+                        }
+                    }
+                    millis.add(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun));
+                    tally.add(new Result(kind, new byte[0], 0));
+                }
+            });
+            return tally(tally, millis, 0, links.cuts.get(), 0);
+        }
+    }
+
+    /** What a query carries names its device and number, and whether it is a hold. */
+    private static byte[] query(String queryClass, int device, int number) {
+        return ("{\"class\":\"" + queryClass + "\",\"deadline_ms\":1900,\"shards\":[{\"shard\":0,\"weight\":1}],\"q\":\"" + queryClass
+                + "-" + device + "-" + number + "\"}").getBytes();
+    }
+
+    private interface Work {
+        void of(int device) throws Exception;
+    }
+
+    private void each(int atOnce, Work work) throws Exception {
+        ExecutorService threads = Executors.newFixedThreadPool(atOnce);
+        var fault = new ConcurrentLinkedQueue<Exception>();
+        for (int d = 0; d < devices; d++) {
+            int device = d;
+            threads.execute(() -> {
+                try {
+                    work.of(device);
+                } catch (Exception e) {
+                    fault.add(e);
+                }
+            });
+        }
+        threads.shutdown();
+        if (!threads.awaitTermination(30, TimeUnit.MINUTES)) {
+            throw new IllegalStateException("devices did not come to an end");
+        }
+        if (!fault.isEmpty()) {
+            throw fault.peek();
+        }
+    }
+
+    private Tally tally(ConcurrentLinkedQueue<Result> all, ConcurrentLinkedQueue<Long> millis, int differ, int cut, int lost) {
+        int[] kinds = new int[Result.Kind.values().length];
+        all.forEach(r -> kinds[r.kind().ordinal()]++);
+        long holds = runs.keySet().stream().filter(t -> t.startsWith("once")).count();
+        long twice = runs.entrySet().stream().filter(e -> e.getKey().startsWith("once") && e.getValue().get() > 1).count();
+        int answered = kinds[Result.Kind.ANSWERED.ordinal()] + kinds[Result.Kind.PARTIAL.ordinal()];
+        int refused = kinds[Result.Kind.REFUSED.ordinal()];
+        int notLearnt = kinds[Result.Kind.NOT_LEARNT.ordinal()];
+        return new Tally(all.size(), answered, refused, all.size() - answered - refused - notLearnt, notLearnt, (int) holds, (int) twice, differ, cut, lost, millis.stream().mapToLong(Long::longValue).sorted().toArray());
+    }
+
+    @Override
+    public void close() throws IOException {
+        program.close();
+        node.close();
+        discovery.close();
+    }
+}
