Bound an edge outcome by the room set aside for it, and quiet CoAP's own log

Need: a query that may not repeat has 64 KiB set aside for its outcome; a longer answer would have gone beyond the memory that the operators set. Californium told of each endpoint it opens, and the client took 8 KiB of an answer over CoAP at most.

Change: an answer longer than its room is told as failed, may have run, with the reason; the client's bound is 128 KiB; the library logs from WARN on.

--- a/src/main/java/wallmoor/client/CoapDevice.java
+++ b/src/main/java/wallmoor/client/CoapDevice.java
@@ -23,6 +23,8 @@
 /** A device on CoAP: puts its query in blocks, proves its address when asked to, and gets the outcome block by block. */
 public final class CoapDevice implements AutoCloseable {
     private static final int WAIT_SECONDS = 10;
+    /** An outcome has 64 KiB of values, and what stands round them. */
+    private static final int MOST_ANSWER = 128 * 1024;
 
     private final URI base;
     private final String token;
@@ -40,6 +42,7 @@
         config.set(CoapConfig.ACK_TIMEOUT, 1, TimeUnit.SECONDS);
         config.set(CoapConfig.PREFERRED_BLOCK_SIZE, 512);
         config.set(CoapConfig.MAX_MESSAGE_SIZE, 512);
+        config.set(CoapConfig.MAX_RESOURCE_BODY_SIZE, MOST_ANSWER);
         endpoint = CoapEndpoint.builder().setConfiguration(config).build();
         endpoint.start();
     }
--- a/src/main/java/wallmoor/edge/Desk.java
+++ b/src/main/java/wallmoor/edge/Desk.java
@@ -46,6 +46,7 @@
     private final ThreadPoolExecutor threads;
     private final Map<Exchange, Running> running = new ConcurrentHashMap<>();
     private final String prefix;
+    private final int mostOutcome;
     private long numbers;
     private volatile long lastAnswer = Long.MAX_VALUE;
 
@@ -67,6 +68,7 @@
         this.clock = clock;
         exchanges = new Exchanges(rules, clock.getAsLong());
         threads = Threads.pool("edge-query", rules.open());
+        mostOutcome = rules.mostOutcome();
         byte[] drawn = new byte[6];
         new SecureRandom().nextBytes(drawn);
         prefix = "e" + HexFormat.of().formatHex(drawn) + "-";
@@ -190,12 +192,15 @@
         r.outcome.complete(kept);
     }
 
-    private static Outcome outcome(Step.Final end) {
+    private Outcome outcome(Step.Final end) {
         if (end instanceof Step.Answer a) {
             var to = new StringBuilder(64 + 64 * a.values().size()).append("{\"outcome\":\"answered\",");
             QueryBody.hits(to, a);
-            return new Outcome(a.whole() ? Outcome.Kind.WHOLE : Outcome.Kind.PARTIAL, 0,
-                    to.append('}').toString().getBytes(StandardCharsets.UTF_8));
+            byte[] body = to.append('}').toString().getBytes(StandardCharsets.UTF_8);
+            if (body.length > mostOutcome) { // room was set aside for less: it can't be kept, hence not be told twice
+                return failed(true, "answered with more than the " + mostOutcome + " bytes that an outcome may have");
+            }
+            return new Outcome(a.whole() ? Outcome.Kind.WHOLE : Outcome.Kind.PARTIAL, 0, body);
         }
         if (end instanceof Step.Refuse r) {
             return refused(r.comeBackAfter(), "turned away; ask again under a new id");
--- a/src/main/java/wallmoor/log/Logging.java
+++ b/src/main/java/wallmoor/log/Logging.java
@@ -26,6 +26,8 @@
     /** Of lines of one form so many pass in ten seconds: a fault that repeats with each query must not be the load. */
     private static final int MOST_ALIKE = 20;
     private static final long PERIOD_MILLIS = 10_000;
+    /** A library that tells of each endpoint it opens. */
+    private static final String TALKATIVE = "org.eclipse.californium";
 
     /** Readable lines. Logback's patterns would do, but reading one costs a start a tenth of a second on half a core. */
     private static final class Readable extends LayoutBase<ILoggingEvent> {
@@ -60,7 +62,11 @@
                 return FilterReply.DENY;
             }
             if (held > 0) {
-                logger.warn("{} lines like the next were held back", held);
+                if (level.isGreaterOrEqual(Level.WARN)) {
+                    logger.warn("{} lines like the next were held back", held);
+                } else {
+                    logger.info("{} lines like the next were held back", held);
+                }
             }
             return FilterReply.NEUTRAL;
         }
@@ -94,6 +100,7 @@
             setUp(context, config.json());
         }
         context.getLoggerList().forEach(l -> l.setLevel(l.getName().equals(Logger.ROOT_LOGGER_NAME) ? Level.INFO : null));
+        context.getLogger(TALKATIVE).setLevel(Level.WARN);
         config.levels().forEach((name, level) -> context.getLogger(name).setLevel(Level.toLevel(level)));
     }
 
@@ -127,6 +134,7 @@
         root.detachAndStopAllAppenders();
         root.setLevel(Level.INFO);
         root.addAppender(appender);
+        context.getLogger(TALKATIVE).setLevel(Level.WARN);
         context.putObject("json", json);
     }
 }
--- a/src/test/java/wallmoor/net/EdgeTest.java
+++ b/src/test/java/wallmoor/net/EdgeTest.java
@@ -281,6 +281,10 @@
             assertArrayEquals(Arrays.copyOfRange(packed.body(), 20, packed.body().length), rest.body());
         }
         assertEquals(1, parts(""));
+        node.value = "x".repeat(40_000);
+        var tooLarge = put(id(), body("once", "q", 0, 2));
+        assertEquals("no room was set aside for it", 502, tooLarge.statusCode());
+        assertTrue(text(tooLarge), text(tooLarge).contains("\"ran\":\"maybe\"") && text(tooLarge).contains("65536 bytes"));
     }
 
     @Test
