Drop a switch nobody turned, a check made twice, and names for names

Cause, on reading the change again: Services had a flag for TXT records that both callers set; a view asked whether an entry was gone before calling what asks the same; the desk took its time to come back from the usual rules rather than its own; the CoAP front renamed two codes.

Change: each is gone; behaviour is as it was (the configured time equals the usual one).

Result: the roster's, exchanges', resolver's, edge's and layers' tests pass unchanged; the whole suite was not run again for this commit.

--- a/src/main/java/wallmoor/dns/DnsSource.java
+++ b/src/main/java/wallmoor/dns/DnsSource.java
@@ -87,7 +87,7 @@
                 lifetimes = new Lifetimes(now.leastTtl(), now.mostTtl(), now.mostAge());
                 var resolver = new Resolver(now.servers(), lifetimes, now.timeout(), 3 * now.mostRecords(),
                         Lookup::clock);
-                services = new Services(resolver, now.mostRecords(), true, true, Lookup::clock);
+                services = new Services(resolver, now.mostRecords(), true, Lookup::clock);
                 held = now;
             }
             long wait;
--- a/src/main/java/wallmoor/dns/Lookup.java
+++ b/src/main/java/wallmoor/dns/Lookup.java
@@ -23,6 +23,6 @@
     /** Looks a service up at these servers, for at most so many milliseconds and one try more. */
     public static Services.Result find(List<InetSocketAddress> servers, String service, long millis) {
         var resolver = new Resolver(servers, new Lifetimes(0, DAY, DAY), TIMEOUT, CACHED, Lookup::clock);
-        return new Services(resolver, MOST_RECORDS, true, false, Lookup::clock).find(service, millis);
+        return new Services(resolver, MOST_RECORDS, false, Lookup::clock).find(service, millis);
     }
 }
--- a/src/main/java/wallmoor/dns/Services.java
+++ b/src/main/java/wallmoor/dns/Services.java
@@ -56,7 +56,6 @@
 
     private final Resolver resolver;
     private final int mostRecords;
-    private final boolean withText;
     private final boolean confirms;
     private final LongSupplier clock;
     /** Targets as they were believed last, without their lifetimes. */
@@ -66,14 +65,12 @@
      * Makes it.
      *
      * @param mostRecords an answer with more is not used
-     * @param withText    whether TXT records are wanted
      * @param confirms    whether what changed is to be read twice before it is believed
      * @param clock       the resolver's
      */
-    Services(Resolver resolver, int mostRecords, boolean withText, boolean confirms, LongSupplier clock) {
+    Services(Resolver resolver, int mostRecords, boolean confirms, LongSupplier clock) {
         this.resolver = resolver;
         this.mostRecords = mostRecords;
-        this.withText = withText;
         this.confirms = confirms;
         this.clock = clock;
     }
@@ -213,17 +210,15 @@
         }
         ttl = Math.min(ttl, addresses.lifetime());
         Map<String, String> text = Map.of();
-        if (withText) {
-            Found said = resolver.find(srv.getTarget(), Type.TXT, deadline, anew);
-            if (said instanceof Found.Failure failure) { // who it is stays open: a guess would make it another node
-                throw new Unusable("its TXT record can't be had: " + failure.why());
-            }
-            if (said instanceof Found.Records t) {
-                text = text(t.records());
-                ttl = Math.min(ttl, t.lifetime());
-            } else {
-                ttl = Math.min(ttl, ((Found.None) said).lifetime());
-            }
+        Found said = resolver.find(srv.getTarget(), Type.TXT, deadline, anew);
+        if (said instanceof Found.Failure failure) { // who it is stays open: a guess would make it another node
+            throw new Unusable("its TXT record can't be had: " + failure.why());
+        }
+        if (said instanceof Found.Records t) {
+            text = text(t.records());
+            ttl = Math.min(ttl, t.lifetime());
+        } else {
+            ttl = Math.min(ttl, ((Found.None) said).lifetime());
         }
         List<String> places = addresses(addresses.records());
         String claimed = text.get("at");
--- a/src/main/java/wallmoor/edge/Desk.java
+++ b/src/main/java/wallmoor/edge/Desk.java
@@ -46,7 +46,7 @@
     private final ThreadPoolExecutor threads;
     private final Map<Exchange, Running> running = new ConcurrentHashMap<>();
     private final String prefix;
-    private final int mostOutcome;
+    private final Rules rules;
     private long numbers;
     private volatile long lastAnswer = Long.MAX_VALUE;
 
@@ -68,7 +68,7 @@
         this.clock = clock;
         exchanges = new Exchanges(rules, clock.getAsLong());
         threads = Threads.pool("edge-query", rules.open());
-        mostOutcome = rules.mostOutcome();
+        this.rules = rules;
         byte[] drawn = new byte[6];
         new SecureRandom().nextBytes(drawn);
         prefix = "e" + HexFormat.of().formatHex(drawn) + "-";
@@ -144,7 +144,7 @@
         try {
             threads.execute(() -> run(exchange, r, ask));
         } catch (RejectedExecutionException | OutOfMemoryError e) {
-            end(exchange, r, refused(Rules.usual().returnFirst(), "too much at work"));
+            end(exchange, r, refused(rules.returnFirst(), "too much at work"));
         }
     }
 
@@ -197,8 +197,8 @@
             var to = new StringBuilder(64 + 64 * a.values().size()).append("{\"outcome\":\"answered\",");
             QueryBody.hits(to, a);
             byte[] body = to.append('}').toString().getBytes(StandardCharsets.UTF_8);
-            if (body.length > mostOutcome) { // room was set aside for less: it can't be kept, hence not be told twice
-                return failed(true, "answered with more than the " + mostOutcome + " bytes that an outcome may have");
+            if (body.length > rules.mostOutcome()) { // room was set aside for less: it can't be kept, hence not be told twice
+                return failed(true, "answered with more than the " + rules.mostOutcome() + " bytes that an outcome may have");
             }
             return new Outcome(a.whole() ? Outcome.Kind.WHOLE : Outcome.Kind.PARTIAL, 0, body);
         }
--- a/src/main/java/wallmoor/edge/coap/EdgeCoap.java
+++ b/src/main/java/wallmoor/edge/coap/EdgeCoap.java
@@ -46,9 +46,6 @@
     /** A block and its headers fit every usual path without fragments. */
     private static final int SZX = 5;
     private static final int BLOCK = 512;
-    /** RFC 8132: 4.09; RFC 8516: 4.29. */
-    private static final ResponseCode CONFLICT = ResponseCode.CONFLICT;
-    private static final ResponseCode TOO_MANY = ResponseCode.TOO_MANY_REQUESTS;
     private static final int MOST_WAIT = 50;
 
     private final Logger log = LoggerFactory.getLogger(EdgeCoap.class);
@@ -240,9 +237,9 @@
             problem(exchange, ResponseCode.CONTENT, "uploading", 202, "not all of it has come",
                     "\"outcome\":\"uploading\",\"offset\":" + more.offset());
         } else if (decision instanceof Decision.Conflict) {
-            problem(exchange, CONFLICT, "conflict", 409, "this id stands for another query; nothing was run", "");
+            problem(exchange, ResponseCode.CONFLICT, "conflict", 409, "this id stands for another query; nothing was run", "");
         } else if (decision instanceof Decision.Refuse r) {
-            later(exchange, r.why() == Decision.Why.FULL ? ResponseCode.SERVICE_UNAVAILABLE : TOO_MANY, r.comeBack());
+            later(exchange, r.why() == Decision.Why.FULL ? ResponseCode.SERVICE_UNAVAILABLE : ResponseCode.TOO_MANY_REQUESTS, r.comeBack());
         } else if (decision instanceof Decision.BadId bad) {
             problem(exchange, ResponseCode.BAD_REQUEST, "id", 400, bad.what(), "\"now_ms\":" + System.currentTimeMillis());
         } else if (decision instanceof Decision.Forgotten) {
--- a/src/main/java/wallmoor/membership/View.java
+++ b/src/main/java/wallmoor/membership/View.java
@@ -129,11 +129,7 @@
         var touched = new LinkedHashSet<String>();
         good(now);
         for (Entry e : news.entries()) {
-            if (e.gone()) {
-                bury(now, e, cause(e, news.version()), touched);
-            } else {
-                put(now, e, cause(e, news.version()), first, touched);
-            }
+            put(now, e, cause(e, news.version()), first, touched);
         }
         return touched;
     }
