Try leaves that stay away less and less, and never with what runs once

Each gatherer sent each of them a part as a trial every 12 typical latencies, after a connect that failed even every 3 (Brain.ill), for as long as that lasted: some 40 parts a second fleet-wide waited 100 to 250 ms at a worker that was gone, in a fleet at half its capacity. 8 % of queries of those seconds were late and 7 % refused. A trial could be a hold-car, which is lost where it gets no answer.

Change: the wait for the next trial doubles with each, up to eight times, and starts anew when the leaf answers or its process has. A query that runs once is no trial while there is another replica. Tests fail without either.

--- a/src/main/java/wallmoor/decision/Brain.java
+++ b/src/main/java/wallmoor/decision/Brain.java
@@ -53,6 +53,8 @@
     private static final double TRIAL_AFTER = 12;
     /** ... and before the trial of one that can't be reached or takes nothing: a refusal costs it no work. */
     private static final double REACH_AFTER = 3;
+    /** That wait doubles with each trial, so often at most: each costs a part its time, at every root. */
+    private static final int TRIALS = 3;
     /** With less time left than this share of a typical latency no attempt can help. */
     private static final double LEAST_TIME = 0.5;
     /** A zone's price in rank: crossing counts as this much more latency for each point of its cost. */
@@ -609,12 +611,13 @@
     private Leaf choose(Part p, List<Leaf> avoid) {
         Leaf best = null;
         double bestRank = 0;
+        boolean once = p.query.kind.effect() == Effect.UNSAFE; // what runs once is no trial
         for (Leaf leaf : fleet.holders(p.shard)) {
             if (!sendable(leaf)) {
                 continue;
             }
             double rank = rank(leaf, p) * (avoid.contains(leaf) ? TRIED : 1)
-                    * (leaf.ill && now < leaf.trialAt ? TRIED * TRIED : 1);
+                    * (leaf.ill && (now < leaf.trialAt || once) ? TRIED * TRIED : 1);
             if (best == null || rank < bestRank || rank == bestRank && random.nextBoolean()) {
                 best = leaf;
                 bestRank = rank;
@@ -916,7 +919,8 @@
             leaf.ill = true;
             actions.log("leaf " + leaf.id + " ill: " + why);
         }
-        leaf.trialAt = now + (long) ((leaf.unreachable ? REACH_AFTER : TRIAL_AFTER) * typical(0));
+        double wait = (leaf.unreachable ? REACH_AFTER : TRIAL_AFTER) * typical(0);
+        leaf.trialAt = now + (long) (wait * (1 << Math.min(TRIALS, leaf.trials)));
         untold.add(leaf);
     }
 
@@ -925,6 +929,7 @@
             return;
         }
         leaf.ill = false;
+        leaf.trials = 0;
         untold.add(leaf);
         actions.log("leaf " + leaf.id + " well");
         if (leaf.died && !cold(leaf)) {
@@ -964,6 +969,7 @@
         }
         leaf.usedAt = now;
         if (leaf.ill) {
+            leaf.trials++;
             ill(leaf, "trial");
         }
         actions.assign(p.id, leaf.id, Math.max(settings.round(), ends(p.query) - now));
--- a/src/main/java/wallmoor/decision/State.java
+++ b/src/main/java/wallmoor/decision/State.java
@@ -39,6 +39,8 @@
         /** Its process has gone, as far as can be told: when it answers again it has just started. */
         boolean died;
         long trialAt;
+        /** Trials since it was well. */
+        int trials;
         final Set<Attempt> out = new LinkedHashSet<>();
         /** What other roots, by number, have told of their parts here. */
         final Map<Integer, Told> told = new LinkedHashMap<>();
@@ -55,6 +57,7 @@
         void startAnew() {
             latency.forget();
             ill = false;
+            trials = 0;
             fails.forget();
             inReach();
         }
--- a/src/test/java/wallmoor/decision/BrainTest.java
+++ b/src/test/java/wallmoor/decision/BrainTest.java
@@ -601,6 +601,43 @@
         assertEquals(List.of("log leaf " + rig.leafOf(0) + " ill: silence"), rig.said("log"));
     }
 
+    /** A whole zone may be gone, and each trial of each of its workers costs some query of each root its time. */
+    @Test
+    void aLeafOutOfReachIsTriedLessAndLess() {
+        var site = new Rig.Site();
+        site.layout = new RouterApi.Layout(12, 1, 1);
+        var rig = new Rig(site).leaves(1).warm(1);
+        int tried = 0;
+        for (int i = 0; i < 900; i++) {
+            rig.said.clear();
+            rig.query(0, 0);
+            for (String sent : rig.said("assign")) {
+                rig.ends(sent.split(" ")[1], 0, "leaf0", Outcome.CONNECT_FAILED, MS);
+                tried++;
+            }
+            rig.pass(20 * MS);
+        }
+        assertTrue(tried >= 5 && tried <= 15, "in 18 s, from 0.3 s to eight times as long: " + tried);
+    }
+
+    @Test
+    void whatRunsOnceIsNoTrialOfASilentLeaf() {
+        for (Effect effect : List.of(Effect.SAFE, Effect.UNSAFE)) {
+            var rig = new Rig(new Rig.Site().only(Rig.Site.all(effect))).leaves(2).warm(2);
+            String q = rig.query(0, 0);
+            String silent = rig.leafOf(0);
+            rig.pass(900 * MS);
+            assertTrue(rig.said.contains("log leaf " + silent + " ill: silence"));
+            rig.ends(q + "/0", 0, silent, Outcome.CANCELLED, 900 * MS);
+            rig.now += 30_000 * MS;
+            rig.said.clear();
+            rig.query(0, 0);
+            rig.query(0, 0);
+            boolean tried = rig.said("assign").stream().anyMatch(l -> l.endsWith(silent));
+            assertEquals(effect == Effect.SAFE, tried, effect + "");
+        }
+    }
+
     @Test
     void twoPartsUnansweredAreASilence() {
         var rig = new Rig(new Rig.Site()).leaves(2).warm(2);
--- a/src/test/java/wallmoor/decision/Rig.java
+++ b/src/test/java/wallmoor/decision/Rig.java
@@ -31,7 +31,11 @@
     private long queries;
 
     Rig(Site site) {
-        brain = new Brain(site.settings(), 7, this);
+        this(site, 7);
+    }
+
+    Rig(Site site, long seed) {
+        brain = new Brain(site.settings(), seed, this);
         brain.onStart(now);
     }
 
