Keep jitter, lateness and the count of trials each in one place

The wait for discovery wrote out jitter() again with other bounds; the time after which a part is late was scaled by its work in markLate and once more in silent; the count of trials was put back to 0 both where a leaf is well and where its process is new, though both call Leaf.inReach. A test's class "rich" was the poor one.

Change: jitter takes its spread, lateAfter a part, inReach resets the count. Decisions are the same, to the last digit of the random figures.

--- a/src/main/java/wallmoor/decision/Brain.java
+++ b/src/main/java/wallmoor/decision/Brain.java
@@ -717,7 +717,7 @@
             Query q = a.part.query;
             long age = now - a.sentAt;
             double half = q.step == 2 ? (ends(q) - a.sentAt) / 2.0 : Double.MAX_VALUE;
-            boolean late = age > Math.min(half, lateAfter(q) * Math.max(1, a.part.scale))
+            boolean late = age > Math.min(half, lateAfter(a.part))
                     || leaf.ill && now < leaf.trialAt && age > typical(q.index);
             if (late && !a.late && !slow && !a.part.over) {
                 failed(leaf, LATE_WEIGHT);
@@ -729,8 +729,9 @@
         }
     }
 
-    private double lateAfter(Query q) {
-        return Math.max(LATE_AFTER * typical(q.index), LATE_FLOOR * q.kind.aim());
+    private double lateAfter(Part p) {
+        Query q = p.query;
+        return Math.max(LATE_AFTER * typical(q.index), LATE_FLOOR * q.kind.aim()) * Math.max(1, p.scale);
     }
 
     private boolean allSlow() {
@@ -791,13 +792,14 @@
             actions.fail(q.arrived.id());
         } else {
             double longest = settings.limits().retryAfter() ? settings.limits().maxRetryAfter() : 0;
-            actions.refuse(q.arrived.id(), (long) Math.min(longest, COME_BACK * q.kind.aim() * jitter()));
+            actions.refuse(q.arrived.id(), (long) Math.min(longest, COME_BACK * q.kind.aim() * jitter(0.25)));
         }
         close(q);
     }
 
-    private double jitter() {
-        return 0.75 + 0.5 * random.nextDouble();
+    /** Around one, by at most so much either way. */
+    private double jitter(double spread) {
+        return 1 - spread + 2 * spread * random.nextDouble();
     }
 
     private void close(Query q) {
@@ -910,8 +912,7 @@
             return 0;
         }
         Attempt oldest = leaf.out.iterator().next();
-        return (now - Math.max(oldest.sentAt, leaf.heardAt))
-                / (lateAfter(oldest.part.query) * Math.max(1, oldest.part.scale));
+        return (now - Math.max(oldest.sentAt, leaf.heardAt)) / lateAfter(oldest.part);
     }
 
     private void ill(Leaf leaf, String why) {
@@ -929,7 +930,6 @@
             return;
         }
         leaf.ill = false;
-        leaf.trials = 0;
         untold.add(leaf);
         actions.log("leaf " + leaf.id + " well");
         if (leaf.died && !cold(leaf)) {
@@ -1090,7 +1090,7 @@
             return;
         }
         asking = true;
-        actions.timer((long) (askWait * (0.5 + random.nextDouble())), "ask"); // all may have lost it at once
+        actions.timer((long) (askWait * jitter(0.5)), "ask"); // all may have lost it at once
         askWait = Math.min(ASK_CAP, 2 * askWait);
     }
 }
--- a/src/main/java/wallmoor/decision/State.java
+++ b/src/main/java/wallmoor/decision/State.java
@@ -57,7 +57,6 @@
         void startAnew() {
             latency.forget();
             ill = false;
-            trials = 0;
             fails.forget();
             inReach();
         }
@@ -65,6 +64,7 @@
         void inReach() {
             unreachable = false;
             died = false;
+            trials = 0;
         }
 
         /** Parts out here: our own and what other roots have told lately. */
--- a/src/test/java/wallmoor/decision/AdmissionTest.java
+++ b/src/test/java/wallmoor/decision/AdmissionTest.java
@@ -40,9 +40,8 @@
     /** Two leaves hold each shard, one class earns a hundredth of the other. */
     private static Rig poorAndRich(int latency) {
         var site = new Rig.Site();
-        var rich = Rig.Site.all(Effect.SAFE);
-        site.classes = List.of(new RouterApi.QueryClass(100, 0.3, 2_000_000, 0, 4_000_000, Effect.SAFE, 0, 1, 1, 0.9, 0),
-                rich);
+        var rich = new RouterApi.QueryClass(100, 0.3, 2_000_000, 0, 4_000_000, Effect.SAFE, 0, 1, 1, 0.9, 0);
+        site.classes = List.of(rich, Rig.Site.all(Effect.SAFE));
         var rig = new Rig(site).leaves(12);
         for (int i = 0; i < 40; i++) {
             rig.query(0, 0);
