Let gatherers of one installation know who of them is there, first with five processes

Need: the operators want the many copies to behave together when some break, stall or lose contact. Each copy stood alone.

Change: wallmoor.peers decides (no I/O, clock or thread): members stand on several rings and each observes the next on every ring, as in Rapid; what an observer can't hear, directly or through three others (SWIM), it accuses; a member is cut once two in three of its observers that are witnesses accuse it, together with all that are about to be, and only with a quorum of the size that the operators state. An accused member that hears of it begins a new life; one that stood still, or whose probes fail in numbers, doubts itself first (Lifeguard). wallmoor.peers.udp speaks it in CBOR, one datagram each, with version and installation; what is of another is dropped and counted. Section fleet of the operators' file; off without it, and nothing is loaded then.

Not there yet: the model, the exchange by TCP, the commands, and what uses the view.

--- /dev/null
+++ b/src/main/java/wallmoor/config/FleetConfig.java
@@ -0,0 +1,51 @@
+package wallmoor.config;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The group of gatherers, section {@code fleet} of the operators' file. Off where the section is absent, and on the
+ * platform, where gatherers share nothing.
+ *
+ * @param installation groups of other names are strangers
+ * @param listen       the datagram socket
+ * @param address      where others reach it, as they are told
+ * @param seeds        addresses to meet the others at; some may be gone
+ * @param size         gatherers that there are meant to be
+ * @param interval     milliseconds between two probes
+ */
+public record FleetConfig(String installation, InetSocketAddress listen, String address, List<String> seeds, int size,
+        long interval) {
+    private static final int MOST_SEEDS = 64;
+    private static final int MOST_MEMBERS = 10_000;
+
+    static FleetConfig of(Section at, Launch launch) {
+        boolean on = at.flag("enabled", true);
+        String installation = at.required("installation");
+        if (!installation.isEmpty() && !installation.matches("[!-~]{1,64}")) {
+            at.fault("installation", "is no name of 1 to 64 letters: " + installation);
+        }
+        InetSocketAddress listen = address(at, "listen", at.required("listen"));
+        String address = at.text("address", at.text("listen", ""));
+        address(at, "address", address);
+        var seeds = new ArrayList<String>(at.texts("seeds"));
+        seeds.forEach(s -> address(at, "seeds", s));
+        if (seeds.isEmpty() || seeds.size() > MOST_SEEDS) {
+            at.fault("seeds", "is absent, empty or holds more than " + MOST_SEEDS);
+        }
+        int size = at.whole("size", launch.settings().roots(), 1, MOST_MEMBERS);
+        long interval = at.time("interval", 1000, 50, 60_000);
+        at.end();
+        return on ? new FleetConfig(installation, listen, address, List.copyOf(seeds), size, interval) : null;
+    }
+
+    private static InetSocketAddress address(Section at, String key, String text) {
+        try {
+            return text.isEmpty() ? null : Launch.address(key, text);
+        } catch (ConfigException e) {
+            at.fault(key, "holds what is not ADDRESS:PORT: " + text);
+            return null;
+        }
+    }
+}
--- a/src/main/java/wallmoor/config/Operator.java
+++ b/src/main/java/wallmoor/config/Operator.java
@@ -25,9 +25,10 @@
  * @param dns       null where DNS is not asked
  * @param ogc       the second front, or null where it is off
  * @param edge      the front for devices, or null where it is off
+ * @param fleet     the group of gatherers, or null where it is off
  */
 public record Operator(NodeList list, InventoryFile inventory, Dns dns, OgcConfig ogc, EdgeConfig edge,
-        LogConfig logging) {
+        FleetConfig fleet, LogConfig logging) {
     /** Nodes of one source at most: a record of each takes about a kilobyte, so that all fit a small heap. */
     public static final int MOST_NODES = 20_000;
     private static final int MOST_BYTES = 1 << 20;
@@ -74,7 +75,7 @@
 
     /** What holds without a file. */
     public static Operator usual() {
-        return new Operator(new NodeList(true, 0), null, null, null, null, new LogConfig(false, Map.of()));
+        return new Operator(new NodeList(true, 0), null, null, null, null, null, new LogConfig(false, Map.of()));
     }
 
     /** Whether the node list is the only source of calendar nodes. */
@@ -131,9 +132,11 @@
         root.section("ogc");
         EdgeConfig edge = root.has("edge") ? EdgeConfig.of(root.section("edge"), folder) : null;
         root.section("edge");
+        FleetConfig fleet = root.has("fleet") ? FleetConfig.of(root.section("fleet"), launch) : null;
+        root.section("fleet");
         LogConfig logging = logging(root.section("logging"));
         root.end();
-        return new Operator(nodeList, inventory, dns, ogc, edge, logging);
+        return new Operator(nodeList, inventory, dns, ogc, edge, fleet, logging);
     }
 
     private static Node compose(Path file) {
--- /dev/null
+++ b/src/main/java/wallmoor/peers/Peers.java
@@ -0,0 +1,537 @@
+package wallmoor.peers;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import wallmoor.peers.News.Doubt;
+import wallmoor.peers.News.Told;
+
+/**
+ * One member's part in the group: events with their time in, messages and changes of view out. Single-threaded; equal
+ * events after an equal start give equal actions.
+ *
+ * <p>Each member probes its subjects on the rings, directly and then through others (SWIM). What it can't hear it
+ * accuses, and news of that travels on all messages. A member is cut once most of its observers that are witnesses accuse
+ * it, together with all others that are about to be cut (Rapid), and only where a quorum is reached. An accused member
+ * that hears of it begins a new life, which voids all that was said of the old one. One that has stood still, or whose
+ * probes fail in numbers, doubts itself before it accuses others (Lifeguard).
+ */
+public final class Peers {
+    /** What the decider has done. */
+    public interface Actions {
+        /** Sends a message to the member at this address. */
+        void send(String address, Message message);
+
+        /** The view has changed; {@code why} is the evidence, for the log. */
+        void changed(View view, String why);
+    }
+
+    /** Figures of what came and went. */
+    public record Counts(long probes, long probesFailed, long accusations, long refutations, long removals, long stale) {
+    }
+
+    /** Own probes that fail in a row of ticks raise self-doubt up to this: waits are then so many times half as long again. */
+    private static final int MOST_DOUBT = 6;
+    /** Of a process that stood still nothing is believed for as long again, and for so many intervals at most. */
+    private static final int STOOD_INTERVALS = 10;
+    /** Each piece of news goes out so many times the logarithm of the group's size: all have it then (SWIM, 4.1). */
+    private static final int SPREAD = 3;
+    /** A name whose life was taken by another process so often has two processes: the one that started later yields. */
+    private static final int TWINS = 3;
+    /** Of a large table so many messages go out at once. */
+    private static final int TABLE_MESSAGES = 32;
+    /** An exchange is asked back for once, and not again for that. */
+    private static final long ASKED = 0;
+    private static final long ASKED_BACK = 1;
+
+    /** A subject as its observer sees it. */
+    private static final class Watch {
+        long nextAt;
+        long sentAt;
+        long seq = -1;
+        boolean asked;
+        long heardAt;
+        boolean accused;
+    }
+
+    private record Relay(String origin, long seq, long until) {
+    }
+
+    private static final class Pending {
+        final News news;
+        int sent;
+
+        Pending(News news) {
+            this.news = news;
+        }
+    }
+
+    private final Rules rules;
+    private final Random random;
+    private final Actions actions;
+    private final List<String> seeds;
+    private final Table table;
+    private final Map<String, Watch> watches = new TreeMap<>();
+    private final Map<Long, Relay> relays = new LinkedHashMap<>();
+    private final Map<String, Pending> pending = new LinkedHashMap<>();
+    private Told self;
+    private long seq;
+    private int selfDoubt;
+    private long tickedAt;
+    private long stoodUntil;
+    private long exchangeAt;
+    private long doubtsAt;
+    private long cutSince = -1;
+    private int taken;
+    private boolean yielded;
+    private boolean left;
+    /** Something was learnt since the view was last looked at. */
+    private boolean dirty;
+    private View view;
+    private long probes;
+    private long probesFailed;
+    private long accusations;
+    private long refutations;
+    private long removals;
+    private long stale;
+
+    /**
+     * A member that has not met the others yet.
+     *
+     * @param boot  of this process: its start on the wall clock; only tells two processes of one name apart
+     * @param seeds addresses of which some may be gone, and one may be its own
+     */
+    public Peers(String name, String address, long boot, List<String> seeds, Rules rules, long seed, Actions actions) {
+        this.rules = rules;
+        this.random = new Random(seed);
+        this.actions = actions;
+        this.seeds = seeds.stream().filter(s -> !s.equals(address)).toList();
+        table = new Table(rules);
+        self = new Told(name, address, boot, boot, false); // over its last life, unless the wall clock went back
+        seq = boot; // and so does an observer's count
+    }
+
+    // ---- events -------------------------------------------------------------------------------------------
+
+    /** The member starts. */
+    public void onStart(long now) {
+        tickedAt = now;
+        table.learn(self, now);
+        meet(now);
+        look(now, "started");
+    }
+
+    /** Time goes on: several times an interval. A tick that is late tells of a pause of this process. */
+    public void onTick(long now) {
+        long gap = now - tickedAt;
+        tickedAt = now;
+        if (left || yielded) {
+            return;
+        }
+        if (gap > rules.pause()) {
+            stood(now, gap);
+        }
+        if (now >= exchangeAt) {
+            meet(now);
+        }
+        relays.values().removeIf(r -> r.until() < now);
+        table.forget(now - rules.keep());
+        probe(now);
+        cut(now);
+        look(now, "time");
+    }
+
+    /** A message has come. One of a life that is over only has its sender told so. */
+    public void onMessage(long now, Message m) {
+        if (left || yielded || m.from().name().equals(self.name()) && m.from().boot() == self.boot()) {
+            return;
+        }
+        if (m.from().name().equals(self.name())) {
+            mine(now, m.from());
+            return;
+        }
+        Table.Entry before = table.get(m.from().name());
+        boolean old = before != null && (before.removed >= m.from().incarnation()
+                || before.told.incarnation() > m.from().incarnation() || before.told.left() && before.told.incarnation() >= m.from().incarnation());
+        if (old) {
+            stale++; // what it decided while it was out of date is not taken up
+            if (m.kind() != Message.Kind.ACK && m.kind() != Message.Kind.TABLE) {
+                actions.send(m.from().address(), message(Message.Kind.ACK, m.seq(), null, about(m.from().name())));
+            }
+            return;
+        }
+        take(now, m.from());
+        m.news().forEach(n -> take(now, n));
+        switch (m.kind()) {
+            case PROBE -> reply(now, m);
+            case ACK -> acked(now, m);
+            case ASK -> ask(now, m);
+            case EXCHANGE -> {
+                if (m.digest() != table.digest()) {
+                    tell(m.from().address());
+                    if (m.seq() == ASKED) {
+                        actions.send(m.from().address(), message(Message.Kind.EXCHANGE, ASKED_BACK, null, carry(null)));
+                    }
+                }
+            }
+            case TABLE -> { }
+        }
+        if (dirty) {
+            look(now, "told by " + m.from().name());
+        }
+    }
+
+    /** Leaves with notice: all it knows of are told. */
+    public void leave(long now) {
+        if (left || yielded) {
+            return;
+        }
+        self = new Told(self.name(), self.address(), self.boot(), self.incarnation(), true);
+        table.learn(self, now);
+        List<News> notice = List.of(self);
+        others(rules.members()).stream().limit(Math.max(16, 4L * rules.rings()))
+                .forEach(e -> actions.send(e.told.address(), message(Message.Kind.TABLE, 0, null, notice)));
+        left = true;
+    }
+
+    /** The view as it is. */
+    public View view() {
+        return view;
+    }
+
+    /** Figures since the start. */
+    public Counts counts() {
+        return new Counts(probes, probesFailed, accusations, refutations, removals, stale);
+    }
+
+    /** Whether another process of this name was here before: this one takes no part then. */
+    public boolean yielded() {
+        return yielded;
+    }
+
+    // ---- meeting ------------------------------------------------------------------------------------------
+
+    /** Exchanges with a member at random, and with a seed or one that went: so two sides of a cut find each other again. */
+    private void meet(long now) {
+        List<Table.Entry> known = others(1);
+        exchangeAt = now + (long) ((known.isEmpty() ? rules.interval() : rules.exchange()) * (0.75 + 0.5 * random.nextDouble()));
+        var to = new HashSet<String>();
+        known.forEach(e -> to.add(e.told.address()));
+        if (known.isEmpty()) {
+            to.addAll(seeds);
+        } else if (!seeds.isEmpty()) {
+            to.add(seeds.get(random.nextInt(seeds.size())));
+        }
+        table.all().stream().filter(e -> e.isRemoved() && !e.told.left()).skip(to.size() > 8 ? 8 : 0).limit(1)
+                .forEach(e -> to.add(e.told.address()));
+        to.stream().sorted().forEach(a -> actions.send(a, message(Message.Kind.EXCHANGE, ASKED, null, carry(null))));
+    }
+
+    /** All that is known, in as many messages as it takes; of a very large table a part that differs each time. */
+    private void tell(String address) {
+        List<News> all = new ArrayList<>(table.news());
+        int most = rules.news() * TABLE_MESSAGES;
+        if (all.size() > most) {
+            java.util.Collections.shuffle(all, random);
+            all = all.subList(0, most);
+        }
+        for (int i = 0; i < all.size(); i += rules.news()) {
+            List<News> some = List.copyOf(all.subList(i, Math.min(all.size(), i + rules.news())));
+            actions.send(address, message(Message.Kind.TABLE, 0, null, some));
+        }
+    }
+
+    private List<Table.Entry> others(int most) {
+        var all = new ArrayList<Table.Entry>();
+        for (Table.Entry e : table.all()) {
+            if (e.present() && !e.told.name().equals(self.name())) {
+                all.add(e);
+            }
+        }
+        while (all.size() > most) {
+            java.util.Collections.swap(all, random.nextInt(all.size()), all.size() - 1);
+            all.remove(all.size() - 1);
+        }
+        return all;
+    }
+
+    // ---- news ---------------------------------------------------------------------------------------------
+
+    private void take(long now, News n) {
+        if (n.name().equals(self.name())) {
+            mine(now, n);
+        } else if (n instanceof Told t && table.learn(t, now)) {
+            dirty = true;
+            spread(t);
+        } else if (n instanceof Doubt d && table.learn(d)) {
+            dirty = true;
+            doubtsAt = now;
+            spread(d);
+        }
+    }
+
+    /** What is said of this member: a doubt, or a life that it did not begin, is answered by a new life. */
+    private void mine(long now, News n) {
+        if (n instanceof Told t && t.boot() != self.boot() && t.incarnation() >= self.incarnation()) {
+            if (++taken > TWINS && t.boot() < self.boot()) {
+                yielded = true;
+                look(now, "another process has this name and was here first: taking no part");
+                return;
+            }
+            live(now, t.incarnation() + 1);
+        } else if (n instanceof Doubt d && d.on() && d.incarnation() >= self.incarnation()) {
+            refutations++;
+            live(now, d.incarnation() + 1);
+        } else if (n instanceof Told t && t.left() && t.incarnation() >= self.incarnation()) {
+            live(now, t.incarnation() + 1);
+        }
+    }
+
+    private void live(long now, long incarnation) {
+        self = new Told(self.name(), self.address(), self.boot(), incarnation, false);
+        table.learn(self, now);
+        dirty = true;
+        spread(self);
+    }
+
+    private void spread(News n) {
+        String key = n instanceof Doubt d ? d.by() + " " + d.name() : n.name();
+        pending.remove(key);
+        pending.put(key, new Pending(n));
+    }
+
+    /** The news that was sent least, first what the receiver must know of itself. */
+    private List<News> carry(String to) {
+        var chosen = new ArrayList<News>();
+        if (to != null) {
+            chosen.addAll(about(to));
+        }
+        int enough = SPREAD * (1 + (int) (Math.log(table.all().size() + 1) / Math.log(2)));
+        pending.values().removeIf(p -> p.sent >= enough);
+        pending.values().stream().sorted(Comparator.comparingInt(p -> p.sent)).limit(Math.max(0, rules.news() - chosen.size()))
+                .forEach(p -> {
+                    p.sent++;
+                    if (!chosen.contains(p.news)) {
+                        chosen.add(p.news);
+                    }
+                });
+        return chosen;
+    }
+
+    /** Doubts of a member, and its life as known here: what it refutes, if it is there to do so. */
+    private List<News> about(String name) {
+        var said = new ArrayList<News>();
+        Table.Entry e = table.get(name);
+        if (e != null) {
+            e.doubts.values().stream().filter(Doubt::on).limit(1).forEach(said::add);
+            if (e.isRemoved() || e.told.left()) {
+                said.add(e.told);
+                if (said.size() == 1) {
+                    said.add(new Doubt(name, e.told.incarnation(), self.name(), ++seq, true));
+                }
+            }
+        }
+        return said;
+    }
+
+    private Message message(Message.Kind kind, long number, String about, List<News> news) {
+        return new Message(kind, self, number, about, table.digest(), news);
+    }
+
+    // ---- probes -------------------------------------------------------------------------------------------
+
+    private void probe(long now) {
+        Set<String> subjects = table.rings().subjects(self.name());
+        watches.keySet().retainAll(subjects);
+        int failing = 0;
+        for (String name : subjects) {
+            Watch w = watches.computeIfAbsent(name, n -> {
+                var fresh = new Watch();
+                fresh.heardAt = now;
+                fresh.nextAt = now + (long) (rules.interval() * random.nextDouble());
+                return fresh;
+            });
+            Table.Entry e = table.get(name);
+            if (w.seq >= 0 && !w.asked && now - w.sentAt > patience(rules.timeout())) {
+                w.asked = true;
+                failing++;
+                others(rules.helpers()).stream().filter(h -> !h.told.name().equals(name))
+                        .forEach(h -> actions.send(h.told.address(), message(Message.Kind.ASK, w.seq, name, carry(h.told.name()))));
+            }
+            if (!w.accused && now - w.heardAt > patience(rules.accuse()) && now >= stoodUntil) {
+                accuse(now, w, e);
+            }
+            if (now >= w.nextAt) {
+                w.nextAt = now + (long) (rules.interval() * (0.9 + 0.2 * random.nextDouble()));
+                w.sentAt = now;
+                w.asked = false;
+                w.seq = ++seq;
+                probes++;
+                actions.send(e.told.address(), message(Message.Kind.PROBE, w.seq, null, carry(name)));
+            }
+        }
+        probesFailed += failing;
+        if (failing > 1 && failing * 2 > subjects.size()) {
+            selfDoubt = Math.min(MOST_DOUBT, selfDoubt + 1); // that all of them are gone is less likely than that this one is
+        }
+    }
+
+    private long patience(long time) {
+        return time + time * selfDoubt / 2;
+    }
+
+    private void accuse(long now, Watch w, Table.Entry e) {
+        w.accused = true;
+        accusations++;
+        doubt(now, e, true);
+    }
+
+    private void doubt(long now, Table.Entry e, boolean on) {
+        var doubt = new Doubt(e.told.name(), e.told.incarnation(), self.name(), ++seq, on);
+        if (table.learn(doubt)) {
+            dirty = true;
+            doubtsAt = now;
+            spread(doubt);
+        }
+    }
+
+    private void reply(long now, Message m) {
+        actions.send(m.from().address(), message(Message.Kind.ACK, m.seq(), null, carry(m.from().name())));
+    }
+
+    private void ask(long now, Message m) {
+        Table.Entry e = table.get(m.about());
+        if (e != null && relays.size() < rules.members()) {
+            relays.put(++seq, new Relay(m.from().address(), m.seq(), now + rules.interval()));
+            actions.send(e.told.address(), message(Message.Kind.PROBE, seq, null, carry(m.about())));
+        }
+    }
+
+    private void acked(long now, Message m) {
+        Relay relay = relays.remove(m.seq());
+        if (relay != null) {
+            actions.send(relay.origin(), new Message(Message.Kind.ACK, self, relay.seq(), m.from().name(), table.digest(), carry(null)));
+            return;
+        }
+        String name = m.about() != null ? m.about() : m.from().name();
+        Watch w = watches.get(name);
+        if (w == null || w.seq != m.seq()) {
+            return;
+        }
+        if (m.about() == null) {
+            selfDoubt = Math.max(0, selfDoubt - 1);
+        }
+        w.seq = -1;
+        w.heardAt = now;
+        Table.Entry e = table.get(name);
+        Doubt mine = e.doubts.get(self.name());
+        if (w.accused || mine != null && mine.on()) {
+            w.accused = false;
+            doubt(now, e, false);
+        }
+    }
+
+    /** This process stood still. Whom it did not hear meanwhile may have spoken all the time. */
+    private void stood(long now, long gap) {
+        stoodUntil = now + Math.min(gap, STOOD_INTERVALS * rules.interval()) + rules.accuse();
+        watches.values().forEach(w -> {
+            w.heardAt = now;
+            w.seq = -1;
+        });
+        exchangeAt = now;
+    }
+
+    // ---- the view -----------------------------------------------------------------------------------------
+
+    /** Cuts those whom most of their witnesses accuse, all at once, where a quorum is here. */
+    private void cut(long now) {
+        Map<String, Set<String>> doubted = table.doubted();
+        var ripe = new ArrayList<Table.Entry>();
+        boolean more = false;
+        for (var d : doubted.entrySet()) {
+            Set<String> witnesses = table.witnesses(d.getKey(), doubted);
+            var by = new HashSet<>(d.getValue());
+            by.retainAll(witnesses);
+            if (!witnesses.isEmpty() && by.size() >= needed(witnesses.size())) {
+                ripe.add(table.get(d.getKey()));
+            } else {
+                more |= d.getValue().size() >= 2;
+            }
+        }
+        if (ripe.isEmpty() || now < stoodUntil || !quorum(now, doubted)) {
+            cutSince = -1;
+            return;
+        }
+        cutSince = cutSince < 0 ? now : cutSince;
+        boolean steady = now - doubtsAt >= rules.quiet() && !more;
+        if (steady || now - cutSince >= rules.settle()) {
+            var names = new ArrayList<String>();
+            for (Table.Entry e : ripe) {
+                names.add(e.told.name() + " by " + doubted.get(e.told.name()));
+                table.remove(e);
+                removals++;
+            }
+            cutSince = -1;
+            look(now, "cut " + String.join(", ", names));
+        }
+    }
+
+    /** Two in three of the witnesses; and never the word of one alone, where there is another. */
+    static int needed(int witnesses) {
+        return Math.max(Math.min(2, witnesses), (2 * witnesses + 2) / 3);
+    }
+
+    /** Members that are heard: in doubt with nobody who counts, and with a witness who could tell. */
+    private int reachable(Map<String, Set<String>> doubted) {
+        int n = 1;
+        for (Table.Entry e : table.present()) {
+            String name = e.told.name();
+            if (!name.equals(self.name()) && !doubted.containsKey(name) && !table.witnesses(name, doubted).isEmpty()) {
+                n++;
+            }
+        }
+        return n;
+    }
+
+    private boolean quorum(long now, Map<String, Set<String>> doubted) {
+        return now >= stoodUntil && !yielded && table.present().size() <= rules.size() && 2 * reachable(doubted) > rules.size();
+    }
+
+    /** Tells of the view if it has changed. */
+    private void look(long now, String why) {
+        dirty = false;
+        Map<String, Set<String>> doubted = table.doubted();
+        var members = new ArrayList<View.Member>();
+        for (Table.Entry e : table.all()) {
+            View.State is = e.told.left() ? View.State.LEFT : e.isRemoved() ? View.State.REMOVED
+                    : doubted.containsKey(e.told.name()) ? View.State.SUSPECTED : View.State.ALIVE;
+            if (is != e.state) {
+                e.state = is;
+                e.since = now;
+            }
+            members.add(new View.Member(e.told.name(), e.told.address(), e.told.incarnation(), is, e.since,
+                    doubted.getOrDefault(e.told.name(), Set.of()).stream().sorted().toList()));
+        }
+        int reachable = reachable(doubted);
+        boolean unsure = now < stoodUntil || yielded || table.present().size() > rules.size() || 2 * reachable == rules.size();
+        View.Standing standing = unsure ? View.Standing.CANT_TELL
+                : 2 * reachable > rules.size() ? View.Standing.LARGER : View.Standing.SMALLER;
+        var next = new View(view == null ? 1 : view.version() + 1, quorum(now, doubted), standing, reachable, rules.size(), members);
+        if (view == null || !same(view, next)) {
+            view = next;
+            actions.changed(next, why);
+        }
+    }
+
+    private static boolean same(View a, View b) {
+        return a.quorum() == b.quorum() && a.standing() == b.standing() && a.reachable() == b.reachable()
+                && a.members().equals(b.members());
+    }
+}
--- /dev/null
+++ b/src/main/java/wallmoor/peers/Rules.java
@@ -0,0 +1,34 @@
+package wallmoor.peers;
+
+/**
+ * Figures of the group. Times are microseconds.
+ *
+ * @param size     gatherers that there are meant to be: a quorum is more than half of them
+ * @param interval between two probes of one subject by one observer
+ * @param timeout  for a direct probe; then others are asked to try
+ * @param accuse   an observer that has not heard its subject for so long accuses it
+ * @param settle   a cut waits so long at most for further subjects that are about to be cut as well
+ * @param quiet    ... and goes ahead once no doubt has come or gone for so long
+ * @param exchange between two exchanges of all that is known, with one other
+ * @param keep     one that left or was removed is remembered for so long, so that old messages don't bring it back
+ * @param pause    a tick this late tells of a pause of the own process
+ * @param rings    on each a member is observed by the one before it
+ * @param helpers  others asked to probe one that does not answer
+ * @param news     pieces of news in one message at most, so that it fits a datagram
+ * @param members  entries at most: what comes beyond is not taken in
+ */
+public record Rules(int size, long interval, long timeout, long accuse, long settle, long quiet, long exchange, long keep,
+        long pause, int rings, int helpers, int news, int members) {
+    private static final long SECOND = 1_000_000;
+
+    /** The usual figures for a group of so many. */
+    public static Rules of(int size) {
+        return of(size, SECOND);
+    }
+
+    /** The same with another interval between probes; all other times follow it. */
+    public static Rules of(int size, long interval) {
+        return new Rules(size, interval, 3 * interval / 10, 3 * interval, 2 * interval, interval / 2, 10 * interval,
+                600 * SECOND, interval, 8, 3, 6, 10_000);
+    }
+}
--- /dev/null
+++ b/src/main/java/wallmoor/peers/udp/PeerSocket.java
@@ -0,0 +1,198 @@
+package wallmoor.peers.udp;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import wallmoor.http.Threads;
+import wallmoor.peers.Message;
+import wallmoor.peers.Peers;
+import wallmoor.peers.Rules;
+import wallmoor.peers.View;
+
+/**
+ * The group's I/O: one datagram socket, a thread that reads it and one that ticks the decider. One lock stands round the
+ * decider; what it decides is sent and told after the lock is given back, so that no send and no subscriber holds it up.
+ * The kernel's receive buffer is the only queue: what does not fit there is lost, as datagrams may be.
+ */
+public final class PeerSocket {
+    /** Ticks an interval: probes that time out after three tenths of it are seen soon enough. */
+    private static final int TICKS = 10;
+    private static final int RECEIVE_BUFFER = 256 * 1024;
+
+    /** Where this member takes part. All of it is checked where it is read. */
+    public record Place(String installation, String name, InetSocketAddress listen, String address, List<String> seeds) {
+    }
+
+    private record Out(String address, byte[] bytes) {
+    }
+
+    private record Change(View view, String why) {
+    }
+
+    private final DatagramSocket socket;
+    private final Wire wire;
+    private final Peers peers;
+    private final long tickMillis;
+    private final Consumer<String> log;
+    private final List<BiConsumer<View, String>> subscribers = new ArrayList<>();
+    private final List<Out> out = new ArrayList<>();
+    private final List<Change> changes = new ArrayList<>();
+    /** Held while changes are handed on, so that subscribers get them in order. */
+    private final Object telling = new Object();
+    private final AtomicLong received = new AtomicLong();
+    private final AtomicLong sent = new AtomicLong();
+    private final AtomicLong bytes = new AtomicLong();
+    private final Map<Wire.Why, AtomicLong> dropped = new EnumMap<>(Wire.Why.class);
+    private volatile boolean closed;
+
+    /** Binds the socket; {@link #start} begins to take part. */
+    public PeerSocket(Place place, Rules rules, long seed, Consumer<String> log) throws IOException {
+        this.log = log;
+        wire = new Wire(place.installation());
+        for (Wire.Why why : Wire.Why.values()) {
+            dropped.put(why, new AtomicLong());
+        }
+        socket = new DatagramSocket(place.listen());
+        socket.setReceiveBufferSize(RECEIVE_BUFFER);
+        tickMillis = Math.max(1, rules.interval() / 1000 / TICKS);
+        long boot = System.currentTimeMillis() * 1000 + seed % 1000;
+        peers = new Peers(place.name(), place.address(), Math.abs(boot), place.seeds(), rules, seed, new Decided());
+    }
+
+    /** Tells of each change of view in order, with its evidence. To be called before {@link #start}. */
+    public void subscribe(BiConsumer<View, String> subscriber) {
+        subscribers.add(subscriber);
+    }
+
+    /** Begins to take part. */
+    public void start() {
+        decide(() -> peers.onStart(now()));
+        Threads.start("peers-read", this::read);
+        Threads.start("peers-tick", this::tick);
+    }
+
+    /** Leaves with notice and closes. */
+    public void leave() {
+        decide(() -> peers.leave(now()));
+        closed = true;
+        socket.close();
+    }
+
+    /** The view as it is. */
+    public View view() {
+        synchronized (peers) {
+            return peers.view();
+        }
+    }
+
+    /** What came and went, and what was dropped and why, as one line. */
+    public String counters() {
+        Peers.Counts c;
+        synchronized (peers) {
+            c = peers.counts();
+        }
+        var text = new StringBuilder("received ").append(received).append(" sent ").append(sent).append(" bytes ")
+                .append(bytes).append(" probes ").append(c.probes()).append(" unanswered ").append(c.probesFailed())
+                .append(" accusations ").append(c.accusations()).append(" refutations ").append(c.refutations())
+                .append(" removals ").append(c.removals()).append(" stale ").append(c.stale());
+        dropped.forEach((why, n) -> text.append(' ').append(why.toString().toLowerCase(java.util.Locale.ROOT)).append(' ').append(n));
+        return text.toString();
+    }
+
+    /** Microseconds that only go forward: a wall clock that is set moves nothing here. */
+    private static long now() {
+        return System.nanoTime() / 1000;
+    }
+
+    private void tick() {
+        try {
+            while (!closed) {
+                Thread.sleep(tickMillis);
+                decide(() -> peers.onTick(now()));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void read() {
+        byte[] buffer = new byte[2 * Wire.MOST_BYTES];
+        while (!closed) {
+            try {
+                var packet = new DatagramPacket(buffer, buffer.length);
+                socket.receive(packet);
+                received.incrementAndGet();
+                Message message = wire.read(buffer, packet.getLength());
+                decide(() -> peers.onMessage(now(), message));
+            } catch (Wire.Dropped e) {
+                dropped.get(e.why).incrementAndGet();
+            } catch (IOException e) {
+                if (!closed) {
+                    log.accept("peers can't read: " + e);
+                }
+            }
+        }
+    }
+
+    private void decide(Runnable event) {
+        List<Out> toSend;
+        synchronized (peers) {
+            try {
+                event.run();
+            } catch (RuntimeException e) {
+                log.accept("peers failed: " + e);
+            }
+            toSend = List.copyOf(out);
+            out.clear();
+        }
+        toSend.forEach(this::send);
+        tell();
+    }
+
+    private void tell() {
+        synchronized (telling) {
+            List<Change> toTell;
+            synchronized (peers) {
+                toTell = List.copyOf(changes);
+                changes.clear();
+            }
+            toTell.forEach(c -> subscribers.forEach(s -> s.accept(c.view(), c.why())));
+        }
+    }
+
+    private void send(Out o) {
+        try {
+            int colon = o.address().lastIndexOf(':');
+            var to = new InetSocketAddress(o.address().substring(0, colon), Integer.parseInt(o.address().substring(colon + 1)));
+            socket.send(new DatagramPacket(o.bytes(), o.bytes().length, to));
+            sent.incrementAndGet();
+            bytes.addAndGet(o.bytes().length);
+        } catch (IOException | RuntimeException e) {
+            dropped.get(Wire.Why.UNSENT).incrementAndGet(); // as good as lost on its way: what others said is no address, say
+        }
+    }
+
+    private final class Decided implements Peers.Actions {
+        @Override
+        public void send(String address, Message message) {
+            try {
+                out.add(new Out(address, wire.write(message)));
+            } catch (IOException e) {
+                dropped.get(Wire.Why.UNSENT).incrementAndGet();
+            }
+        }
+
+        @Override
+        public void changed(View view, String why) {
+            changes.add(new Change(view, why));
+        }
+    }
+}
--- a/src/main/java/wallmoor/service/Service.java
+++ b/src/main/java/wallmoor/service/Service.java
@@ -32,6 +32,7 @@
     private final Platform platform;
     private final Features features;
     private final Edge edge;
+    private final Group group;
 
     /** Makes it; its fronts listen from now on, and answer from {@link #start} on. */
     public Service(Launch launch, Operator operator) throws IOException, Json.Malformed {
@@ -43,6 +44,7 @@
         platform = new Platform(launch, clock, nodes.gatherer(), nodes.workers(), platformLog);
         features = operator.ogc() == null ? null : features(clock);
         edge = operator.edge() == null ? null : new Edge(operator.edge(), launch, clock, nodes);
+        group = operator.fleet() == null ? null : new Group(operator.fleet(), launch);
     }
 
     private Features features(Clock clock) throws IOException {
@@ -61,6 +63,9 @@
         if (edge != null) {
             edge.start();
         }
+        if (group != null) {
+            group.start();
+        }
         platform.ready(true);
         log.info("serving as {} on {}", launch.name(), launch.listen());
     }
@@ -96,6 +101,9 @@
     public void leave() {
         platform.ready(false);
         log.info("told to leave");
+        if (group != null) {
+            group.leave();
+        }
         Settings settings = launch.settings();
         long longest = settings.classes().stream().mapToLong(QueryClass::giveUp).max().orElse(0) / 1000;
         long aim = settings.classes().stream().mapToLong(QueryClass::aim).max().orElse(0) / 1000;
--- a/src/test/java/wallmoor/LayersTest.java
+++ b/src/test/java/wallmoor/LayersTest.java
@@ -35,7 +35,10 @@
             entry("edge.http", "edge", "exchange", "queries", "config", "http"),
             entry("edge.coap", "edge", "exchange", "queries", "config"),
             entry("ogc", "sources", "inventory", "membership", "core", "config", "http", "json", "decision"),
-            entry("service", "edge", "edge.http", "edge.coap", "exchange", "platform", "ogc", "frames", "discovery", "inventory", "dns", "sources", "membership",
+            // decides who of the gatherers is there: no I/O, and nothing of the core
+            entry("peers"),
+            entry("peers.udp", "peers", "http"),
+            entry("service", "peers", "peers.udp", "edge", "edge.http", "edge.coap", "exchange", "platform", "ogc", "frames", "discovery", "inventory", "dns", "sources", "membership",
                     "core", "config", "http", "json", "log", "decision"),
             entry("client"),
             entry("cli", "client", "edge", "service", "inventory", "dns", "membership", "config", "json"));
@@ -80,9 +83,9 @@
     @Test
     public void whatDecidesDoesNoInputOrOutput() throws Exception {
         var forbidden = Pattern.compile("java\\.(io|net|nio\\.(file|channels))|System\\.(nano|current|out|err)|Thread|Instant|slf4j");
-        for (String decides : List.of("decision", "membership", "exchange")) {
+        for (String decides : List.of("decision", "membership", "exchange", "peers")) {
             try (var files = Files.list(Path.of("src/main/java/wallmoor", decides))) {
-                String text = files.map(LayersTest::read).collect(Collectors.joining());
+                String text = files.filter(Files::isRegularFile).map(LayersTest::read).collect(Collectors.joining());
                 assertEquals(decides, List.of(), forbidden.matcher(text).results().map(r -> r.group()).toList());
             }
         }
--- /dev/null
+++ b/src/test/java/wallmoor/net/GroupTest.java
@@ -0,0 +1,227 @@
+package wallmoor.net;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.junit.After;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+import wallmoor.standin.GroupRelay;
+
+/** Real processes that are a group, with a relay of faults between them; what each holds is what its own log says. */
+public class GroupTest {
+    private static final String INTERVAL = "200ms";
+    private static final int FIVE = 5;
+
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+    private final List<Member> members = new ArrayList<>();
+    private final List<Integer> ports = new ArrayList<>();
+    private GroupRelay relay;
+
+    /** One process and what its log said. */
+    private final class Member {
+        final List<String> log = Collections.synchronizedList(new ArrayList<>());
+        final int number;
+        Process process;
+
+        Member(int number) {
+            this.number = number;
+        }
+
+        void start() throws IOException {
+            Path operator = folder.newFile().toPath();
+            Files.writeString(operator, "fleet:\n  installation: test\n  listen: 127.0.0.1:" + ports.get(number)
+                    + "\n  address: " + relay.address(number) + "\n  seeds: [\"127.0.0.1:9\", \"" + relay.address(0) + "\", \""
+                    + relay.address(1) + "\"]\n  size: " + ports.size() + "\n  interval: " + INTERVAL + "\n");
+            process = Program.launch("{\"name\":\"m" + number + "\",\"listen\":\"127.0.0.1:" + Program.freePort()
+                    + "\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"8c1f30d27a5be96" + number + "\",\"settings\":" + Program.SETTINGS + "}",
+                    operator);
+            var reader = new Thread(() -> {
+                try (var lines = new BufferedReader(new InputStreamReader(process.getErrorStream()))) {
+                    lines.lines().forEach(log::add);
+                } catch (IOException | RuntimeException e) {
+                    log.add("log ended: " + e);
+                }
+            });
+            reader.setDaemon(true);
+            reader.start();
+        }
+
+        /** What its latest view says, from the quorum on; empty before the first. */
+        String view() {
+            synchronized (log) {
+                for (int i = log.size() - 1; i >= 0; i--) {
+                    int at = log.get(i).indexOf("quorum=");
+                    if (at >= 0) {
+                        return log.get(i).substring(at).replaceAll(" because.*", "");
+                    }
+                }
+            }
+            return "";
+        }
+
+        boolean everSaid(String text) {
+            synchronized (log) {
+                return log.stream().anyMatch(l -> l.contains(text));
+            }
+        }
+
+        void signal(String name) throws Exception {
+            new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
+        }
+    }
+
+    private void start(int count) throws Exception {
+        for (int i = 0; i < count; i++) {
+            try (var socket = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+                ports.add(socket.getLocalPort());
+            }
+        }
+        relay = new GroupRelay(ports, 7);
+        for (int i = 0; i < count; i++) {
+            members.add(new Member(i));
+            members.get(i).start();
+        }
+        awaitAll("all are found", IntStream.range(0, count).toArray(), alive(count, IntStream.range(0, count).toArray()));
+    }
+
+    /** The view that holds these alive, all others gone. */
+    private static String alive(int size, int... numbers) {
+        return "quorum=true side=LARGER reachable=" + numbers.length + "/" + size + " alive="
+                + String.join(",", IntStream.of(numbers).mapToObj(n -> "m" + n).toList());
+    }
+
+    private void awaitAll(String what, int[] who, String starts) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        for (int n : who) {
+            while (!members.get(n).view().startsWith(starts)) {
+                assertTrue(what + ": m" + n + " holds " + members.get(n).view(), System.nanoTime() < until);
+                Thread.sleep(20);
+            }
+        }
+    }
+
+    @After
+    public void stop() {
+        members.stream().filter(m -> m.process != null).forEach(m -> m.process.destroyForcibly().onExit().join());
+        if (relay != null) {
+            relay.close();
+        }
+    }
+
+    @Test
+    public void fiveFindEachOtherLoseOneAgreeAndTakeItBackAsANewLife() throws Exception {
+        start(FIVE);
+        members.get(2).process.destroyForcibly().onExit().join();
+        awaitAll("one is lost", new int[] {0, 1, 3, 4}, alive(FIVE, 0, 1, 3, 4) + " removed=m2");
+        members.get(2).start(); // nothing kept, the same name and address
+        awaitAll("it is back", IntStream.range(0, FIVE).toArray(), alive(FIVE, 0, 1, 2, 3, 4));
+        for (int n : new int[] {0, 1, 3, 4}) {
+            for (int other : new int[] {0, 1, 3, 4}) {
+                assertTrue(!members.get(n).everSaid("removed=m" + other));
+            }
+        }
+    }
+
+    @Test
+    public void oneThatLeavesIsNotSuspectedFirst() throws Exception {
+        start(FIVE);
+        members.get(4).process.toHandle().destroy();
+        awaitAll("it has left", new int[] {0, 1, 2, 3}, alive(FIVE, 0, 1, 2, 3) + " left=m4");
+        assertTrue(!members.get(0).everSaid("cut m4"));
+    }
+
+    @Test
+    public void onePausedIsBackByItselfAndHasNobodyElseRemoved() throws Exception {
+        start(FIVE);
+        members.get(1).signal("STOP");
+        awaitAll("it is missed", new int[] {0, 2, 3, 4}, alive(FIVE, 0, 2, 3, 4) + " removed=m1");
+        Thread.sleep(2_000);
+        members.get(1).signal("CONT");
+        awaitAll("it is back", IntStream.range(0, FIVE).toArray(), alive(FIVE, 0, 1, 2, 3, 4));
+        for (Member m : members) {
+            assertTrue(IntStream.of(0, 2, 3, 4).noneMatch(n -> m.everSaid("removed=m" + n)));
+            assertTrue(IntStream.of(0, 2, 3, 4).noneMatch(n -> m.everSaid("cut m" + n)));
+        }
+    }
+
+    /** The smaller side removes nobody and says what it is; once the cut heals all are one group again. */
+    @Test
+    public void ofTwoSidesOnlyTheLargerRemovesAndBothMergeAgain() throws Exception {
+        start(FIVE);
+        relay.cut = (from, to) -> from < 2 != to < 2;
+        awaitAll("the larger side goes on", new int[] {2, 3, 4}, alive(FIVE, 2, 3, 4) + " removed=m0,m1");
+        awaitAll("the smaller side knows", new int[] {0, 1}, "quorum=false side=SMALLER reachable=2/5");
+        assertTrue(!members.get(0).everSaid("removed=") && !members.get(1).everSaid("removed="));
+        relay.cut = (from, to) -> false;
+        awaitAll("all are one", IntStream.range(0, FIVE).toArray(), alive(FIVE, 0, 1, 2, 3, 4));
+    }
+
+    /** A cannot send to B, though B can to A: others vouch for both, and nobody is removed. */
+    @Test
+    public void aLinkCutOneWayAndAFifthOfAllLostRemoveNobody() throws Exception {
+        start(FIVE);
+        relay.loss = 0.2;
+        relay.cut = (from, to) -> from == 0 && to == 1;
+        Thread.sleep(6_000); // thirty intervals
+        assertTrue(relay.dropped.get() > 50);
+        members.forEach(m -> assertTrue(m.log.toString(), !m.everSaid("removed=")));
+        relay.loss = 0;
+        relay.cut = (from, to) -> false;
+        awaitAll("all are there", IntStream.range(0, FIVE).toArray(), alive(FIVE, 0, 1, 2, 3, 4));
+    }
+
+    /** One that hears all and is heard by none is the one that goes. */
+    @Test
+    public void oneThatNobodyHearsIsRemovedAlone() throws Exception {
+        start(FIVE);
+        relay.cut = (from, to) -> from == 3;
+        awaitAll("it is gone", new int[] {0, 1, 2, 4}, alive(FIVE, 0, 1, 2, 4) + " removed=m3");
+        relay.cut = (from, to) -> false;
+        awaitAll("it is back", IntStream.range(0, FIVE).toArray(), alive(FIVE, 0, 1, 2, 3, 4));
+        members.forEach(m -> assertTrue(IntStream.of(0, 1, 2, 4).noneMatch(n -> m.everSaid("cut m" + n))));
+    }
+
+    @Test
+    public void garbageAndStrangersAreDroppedCountedAndHarmless() throws Exception {
+        start(FIVE);
+        try (var socket = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+            socket.setSoTimeout(300);
+            var random = new java.util.Random(5);
+            for (int i = 0; i < 300; i++) {
+                byte[] bytes = new byte[1 + random.nextInt(1_400)];
+                random.nextBytes(bytes);
+                if (i % 3 == 0) { // an array, of a version there is not
+                    bytes[0] = (byte) 0x9f;
+                    bytes[bytes.length > 1 ? 1 : 0] = 9;
+                }
+                socket.send(new DatagramPacket(bytes, bytes.length, new InetSocketAddress("127.0.0.1", ports.get(0))));
+            }
+            try {
+                socket.receive(new DatagramPacket(new byte[1500], 1500));
+                throw new AssertionError("it was answered");
+            } catch (java.net.SocketTimeoutException e) {
+                assertEquals(alive(FIVE, 0, 1, 2, 3, 4), members.get(0).view());
+            }
+        }
+        members.get(0).process.toHandle().destroy();
+        Program.await("its counters", () -> members.get(0).everSaid("malformed "));
+        assertTrue(!members.get(0).everSaid(" malformed 0 "));
+    }
+}
