Blame a lost zone for its slow connects, and weigh the class served worst

With more than one attempt in twenty timed out Brain.learn held that connecting was slow everywhere and blamed no leaf: of some 2,700 leaves out of reach (90 gatherers, 30 workers each) 180 were told ill, and in the 4 s of a cut 2,400 attempts went to workers that could not be reached, each 250 ms of a 400 ms aim. A test with six dead leaves in one of two zones had one of them blamed.

Change: slow connects are counted by zone, and no leaf is to blame only where every zone has them. Worth for work counts a unit served of the class served worst as the settings' weights say.

--- a/src/main/java/wallmoor/config/SettingsReader.java
+++ b/src/main/java/wallmoor/config/SettingsReader.java
@@ -94,8 +94,10 @@
     }
 
     private Costs costs() {
+        double whole = decimal("ObjectiveMix.Whole", 0);
         return new Costs(decimal("Costs.CrossZone", 0), decimal("Costs.Waste", 0), decimal("Costs.LateFail", 0),
-                decimal("Costs.Probe", 0), decimal("Costs.Peer", 0));
+                decimal("Costs.Probe", 0), decimal("Costs.Peer", 0), whole > 0
+                        ? Math.max(0, decimal("ObjectiveMix.WorstClass", 0)) / whole : 0);
     }
 
     private String required(String path) {
--- a/src/main/java/wallmoor/decision/Brain.java
+++ b/src/main/java/wallmoor/decision/Brain.java
@@ -129,9 +129,10 @@
     private final Smoothed meanHint = new Smoothed(FLEET_STEP);
     private final Smoothed meanDensity = new Smoothed(FLEET_STEP);
     private final Smoothed idleLoss = new Smoothed(LATENCY_STEP);
-    private final Smoothed slowConnects = new Smoothed(FLEET_STEP);
+    private final SlowConnects slowConnects = new SlowConnects(FLEET_STEP, SLOW_CONNECTS);
     private final Smoothed strain = new Smoothed(LATENCY_STEP);
     private final Smoothed load = new Smoothed(FLEET_STEP);
+    private final ClassShares shares;
     private final WindowCounter taken;
     private final WindowCounter extras;
     /** Parts served within the time in which a cold leaf may fall over. */
@@ -142,8 +143,7 @@
     private long heardAt;
     private long admittedAt;
     private long pacedAt;
-    /** Queries that an event of this round touched: the others wait for the next sweep, or a busy root would
-     * spend its processor on queries of which nothing is new, and fall behind the more the more it holds. */
+    /** Queries that an event of this round touched: a busy root has no time for others before a sweep. */
     private final Set<Query> touched = new LinkedHashSet<>();
     private final Set<Leaf> untold = new LinkedHashSet<>();
     private final List<Entry> answers = new ArrayList<>();
@@ -175,6 +175,7 @@
             tryTime.add(new Smoothed(LATENCY_STEP));
         }
         settings.tenants().forEach(t -> tenantUse.add(new WindowCounter(TENANT_WINDOW)));
+        shares = new ClassShares(settings.classes(), settings.costs().worstClass());
         taken = new WindowCounter(Math.max(1, settings.rules().budgetWindow() - settings.round()));
         extras = new WindowCounter(settings.rules().budgetWindow() + settings.round());
         served = new WindowCounter(Math.max(1, settings.rules().overloadFor()));
@@ -306,7 +307,7 @@
         tick(at);
         Query query = open.query(id);
         if (query != null) {
-            close(query);
+            close(query, false);
         }
     }
 
@@ -451,7 +452,7 @@
         double aged = mean * faded(now - Math.max(heardAt, admittedAt), q.kind.aim());
         double work = settings.worthByWork()
                 ? (double) n / q.parts.size() : n + FOLLOW_WORK * q.kind.followUp();
-        double density = q.kind.worth() * q.worthShare / work;
+        double density = q.kind.worth() * q.worthShare * shares.weight(q.index) / work;
         double relative = Math.sqrt(density / meanDensity.or(density));
         meanDensity.add(density);
         q.predicted = mean;
@@ -745,7 +746,7 @@
                 }
             }
         }
-        return late > ALL_SLOW * sound && late > 2 || slowConnects.or(0) > SLOW_CONNECTS;
+        return late > ALL_SLOW * sound && late > 2 || slowConnects.everywhere();
     }
 
     // ---- endings ------------------------------------------------------------------------------------------
@@ -779,7 +780,7 @@
         if (q.predicted > 0 && !stood) {
             stretch.get(q.index).add(Math.min(STRETCH_MOST, (now - q.at) / q.predicted));
         }
-        close(q);
+        close(q, now - q.at <= aim(q));
     }
 
     /** The final answer to a query that is given up, at once: a refusal where the rules let it be one. */
@@ -794,7 +795,7 @@
             double longest = settings.limits().retryAfter() ? settings.limits().maxRetryAfter() : 0;
             actions.refuse(q.arrived.id(), (long) Math.min(longest, COME_BACK * q.kind.aim() * jitter(0.25)));
         }
-        close(q);
+        close(q, false);
     }
 
     /** Around one, by at most so much either way. */
@@ -802,7 +803,8 @@
         return 1 - spread + 2 * spread * random.nextDouble();
     }
 
-    private void close(Query q) {
+    private void close(Query q, boolean inTime) {
+        shares.add(q.index, q.kind.worth() * q.worthShare, inTime);
         open.remove(q);
         letGo(q);
     }
@@ -830,8 +832,8 @@
         boolean noConnect = e.outcome() == Outcome.CONNECT_FAILED;
         long timeout = settings.limits().connectTimeout();
         boolean slow = noConnect && timeout > 0 && e.took() >= timeout;
-        slowConnects.add(slow ? 1 : 0);
-        if (slow && slowConnects.or(0) > SLOW_CONNECTS) {
+        slowConnects.add(leaf.zone, slow);
+        if (slow && slowConnects.everywhere()) {
             return; // no leaf is to blame
         }
         switch (e.outcome()) {
--- a/src/main/java/wallmoor/decision/RouterApi.java
+++ b/src/main/java/wallmoor/decision/RouterApi.java
@@ -91,8 +91,13 @@
             long overloadFor, long askWithin, long budgetWindow, double minExtra, double repeatRatio) {
     }
 
-    /** Prices that bear on decisions, in shares of the result. */
-    public record Costs(double crossZone, double waste, double lateFail, double probe, double peer) {
+    /**
+     * Prices that bear on decisions, in shares of the result.
+     *
+     * @param worstClass what the share of the class served worst counts, over what the share of the whole does
+     */
+    public record Costs(double crossZone, double waste, double lateFail, double probe, double peer,
+            double worstClass) {
     }
 
     /**
--- a/src/test/java/wallmoor/decision/BrainTest.java
+++ b/src/test/java/wallmoor/decision/BrainTest.java
@@ -444,6 +444,29 @@
         assertTrue(rig.said("refuse").isEmpty(), "no shard counts as out of reach");
     }
 
+    /** A lost zone made connecting look slow everywhere: its leaves were blamed no more, and sent to again and again. */
+    @Test
+    void slowConnectsToOneZoneBlameItsLeaves() {
+        var entries = new LeafEntry[12];
+        for (int i = 0; i < 12; i++) {
+            entries[i] = new LeafEntry("leaf" + i, i % 2, 0, i, LeafState.UP, 1, RouterApi.ABSENT);
+        }
+        var rig = new Rig(new Rig.Site()).list(entries).warm(12);
+        var blamed = new java.util.TreeSet<String>();
+        for (int i = 0; i < 48; i++) {
+            String q = rig.query(0, i % 12);
+            for (int attempt = 0; attempt < 2 && rig.said("assign").size() > attempt; attempt++) {
+                String leaf = rig.leafOf(attempt);
+                boolean lost = Integer.parseInt(leaf.substring(4)) % 2 == 1;
+                rig.ends(q + "/" + i % 12, attempt, leaf, lost ? Outcome.CONNECT_FAILED : Outcome.OK, (lost ? 250 : 100) * MS);
+            }
+            rig.said("log").stream().filter(l -> l.contains("ill: CONNECT_FAILED")).forEach(l -> blamed.add(l.split(" ")[2]));
+            rig.said.clear();
+            rig.pass(20 * MS);
+        }
+        assertEquals(java.util.Set.of("leaf1", "leaf3", "leaf5", "leaf7", "leaf9", "leaf11"), blamed);
+    }
+
     @Test
     void latePartsWaitWhileConnectsTimeOut() {
         var rig = new Rig(new Rig.Site()).leaves(12).warm(12);
--- a/src/test/java/wallmoor/decision/Rig.java
+++ b/src/test/java/wallmoor/decision/Rig.java
@@ -44,6 +44,7 @@
         int roots = 1;
         int position;
         boolean subscribe;
+        double worstClass;
         boolean parallel = true;
         int maxAttempts = 4;
         boolean peers;
@@ -81,7 +82,7 @@
                             250_000),
                     new Rules(20_000, 500_000, 0.2, 10_000_000, 2.5, 1_000_000, 10_000_000, budgetWindow, minExtra,
                             ratio),
-                    new Costs(0, 0.05, 0.05, 0.01, 0.01));
+                    new Costs(0, 0.05, 0.05, 0.01, 0.01, worstClass));
         }
     }
 
