Run the group's decider on a model of a network, with properties and small cases

Need: what processes show once, seeded runs show for many faults.

Change: wallmoor.model, a network and a clock in one thread: loss, delay, cuts each way, pauses (what came meanwhile is read late), kills, restarts; the same seed gives the same run. Properties of the decider on it, and all ways to part three to five members in two, with and without one killed.

--- a/src/test/java/wallmoor/LayersTest.java
+++ b/src/test/java/wallmoor/LayersTest.java
@@ -37,6 +37,8 @@
             entry("ogc", "sources", "inventory", "membership", "core", "config", "http", "json", "decision"),
             // decides who of the gatherers is there: no I/O, and nothing of the core
             entry("peers"),
+            // drives the real deciders on one clock; never used by serve
+            entry("model", "peers"),
             entry("peers.udp", "peers", "http"),
             entry("service", "peers", "peers.udp", "edge", "edge.http", "edge.coap", "exchange", "platform", "ogc", "frames", "discovery", "inventory", "dns", "sources", "membership",
                     "core", "config", "http", "json", "log", "decision"),
--- /dev/null
+++ b/src/test/java/wallmoor/peers/PeersPropertiesTest.java
@@ -0,0 +1,162 @@
+package wallmoor.peers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Example;
+import net.jqwik.api.constraints.IntRange;
+import wallmoor.model.GroupModel;
+
+/** The group's decider on the model: random faults, small cases exhaustively, and the same run twice. */
+class PeersPropertiesTest {
+    private static final long SECOND = 1_000_000;
+
+    private static GroupModel started(int count, long seed) {
+        var group = new GroupModel(count, Rules.of(count), seed);
+        group.startAll();
+        assertTrue(group.untilAgreed(60 * SECOND) >= 0, "found each other");
+        return group;
+    }
+
+    /** After random losses, cuts, pauses, kills and restarts all that are up agree again, and who is dead stays so. */
+    @Property(tries = 60, seed = "11")
+    void afterFaultsEndAllAgree(@ForAll @IntRange(min = 3, max = 12) int count, @ForAll long seed) {
+        GroupModel group = started(count, seed);
+        var random = new Random(seed);
+        boolean[] down = new boolean[count];
+        for (int i = 0; i < 8; i++) {
+            int a = random.nextInt(count);
+            int b = random.nextInt(count);
+            switch (random.nextInt(6)) {
+                case 0 -> group.link((from, to, now, r) -> r.nextDouble() < 0.3 ? -1 : 1_000 + r.nextLong(50_000));
+                case 1 -> group.link((from, to, now, r) -> from == a && to != b ? -1 : 2_000);
+                case 2 -> group.link((from, to, now, r) -> from <= a != to <= a ? -1 : 2_000);
+                case 3 -> group.pause(a, SECOND * (1 + random.nextInt(20)));
+                case 4 -> {
+                    group.kill(a);
+                    down[a] = true;
+                }
+                default -> {
+                    group.start(b);
+                    down[b] = false;
+                }
+            }
+            group.run(random.nextInt(8) * SECOND);
+        }
+        group.link(GroupModel.SOUND);
+        for (int i = 2; i < count; i++) { // a quorum must be there to remove those that are not
+            if (down[i] && IntStream.range(0, count).filter(n -> !down[n]).count() * 2 <= count + 1) {
+                group.start(i);
+                down[i] = false;
+            }
+        }
+        for (int i = 0; i < 2; i++) { // and a seed to be met at
+            if (down[i]) {
+                group.start(i);
+                down[i] = false;
+            }
+        }
+        assertTrue(group.untilAgreed(90 * SECOND) >= 0, () -> IntStream.range(0, count).filter(n -> !down[n])
+                .mapToObj(n -> "\n" + n + " " + group.view(n)).toList().toString());
+    }
+
+    /** Every way to part three to five members in two, and each with one of them killed: never two quorums. */
+    @Example
+    void twoSidesNeverBothHoldAQuorum() {
+        for (int count = 3; count <= 5; count++) {
+            for (int side = 1; side < (1 << count) - 1; side++) {
+                for (int dead = -1; dead < count; dead++) {
+                    GroupModel group = started(count, side * 31L + dead);
+                    int here = side;
+                    group.link((from, to, now, r) -> (here >> from & 1) != (here >> to & 1) ? -1 : 2_000);
+                    if (dead >= 0) {
+                        group.kill(dead);
+                    }
+                    group.run(20 * SECOND);
+                    var holds = new ArrayList<Integer>();
+                    for (int i = 0; i < count; i++) {
+                        if (i != dead && group.view(i).quorum()) {
+                            holds.add(side >> i & 1);
+                        }
+                    }
+                    assertTrue(holds.stream().distinct().count() <= 1, count + " " + side + " " + dead);
+                    for (int i = 0; i < count; i++) { // and who has none has removed nobody
+                        assertTrue(i == dead || group.view(i).quorum() || group.in(i, View.State.REMOVED).isEmpty());
+                    }
+                }
+            }
+        }
+    }
+
+    @Property(tries = 10, seed = "3")
+    void theSameEventsGiveTheSameView(@ForAll long seed) {
+        var views = new ArrayList<List<View>>();
+        for (int run = 0; run < 2; run++) {
+            GroupModel group = started(7, seed);
+            group.link((from, to, now, r) -> r.nextDouble() < 0.2 ? -1 : 1_000 + r.nextLong(20_000));
+            group.pause(3, 9 * SECOND);
+            group.kill(5);
+            group.run(30 * SECOND);
+            views.add(IntStream.range(0, 7).filter(n -> n != 5).mapToObj(group::view).toList());
+        }
+        assertEquals(views.get(0), views.get(1));
+    }
+
+    /** What a dead member said long ago, played again, does not bring it back. */
+    @Example
+    void noDeadMemberIsBackByAnOldMessage() {
+        GroupModel group = started(5, 4);
+        long life = group.view(0).members().stream().filter(m -> m.name().equals("m4")).findFirst().orElseThrow().incarnation();
+        group.kill(4);
+        assertTrue(group.untilAgreed(20 * SECOND) >= 0);
+        var said = new News.Told("m4", "a4", life, life, false);
+        for (int i = 0; i < 4; i++) {
+            group.inject(i, new Message(Message.Kind.PROBE, said, 7, null, 0, List.of(said)));
+            group.inject(i, new Message(Message.Kind.TABLE, said, 0, null, 0, List.of(new News.Doubt("m0", 0, "m4", 9, true))));
+        }
+        group.run(10 * SECOND);
+        assertTrue(group.agreed());
+    }
+
+    /** One bad member in a hundred: it is the only one that may go. */
+    @Property(tries = 6, seed = "5")
+    void oneBadLinkOrMemberHasNobodyElseRemoved(@ForAll @IntRange(min = 0, max = 3) int fault, @ForAll long seed) {
+        int count = 30;
+        GroupModel group = started(count, seed);
+        group.link((from, to, now, r) -> switch (fault) {
+            case 0 -> from == 9 && r.nextDouble() < 0.8 ? -1 : 2_000;
+            case 1 -> to == 9 && r.nextDouble() < 0.8 ? -1 : 2_000;
+            case 2 -> (from == 9 || to == 9) && now / SECOND % 2 == 0 ? -1 : 2_000;
+            default -> from == 9 && to % 2 == 0 ? -1 : 2_000;
+        });
+        if (fault == 3) {
+            group.pause(12, 10 * SECOND);
+        }
+        for (int s = 0; s < 60; s++) {
+            group.run(SECOND);
+            for (int i = 0; i < count; i++) {
+                for (String gone : group.in(i, View.State.REMOVED)) {
+                    assertTrue(gone.equals("m9") || fault == 3 && gone.equals("m12"), fault + ": " + i + " removed " + gone);
+                }
+            }
+        }
+    }
+
+    /** A life begun by a process that left is not ended by its own notice. */
+    @Example
+    void whoLeftComesBackAndATwinYields() {
+        GroupModel group = started(5, 9);
+        group.leave(3);
+        assertTrue(group.untilAgreed(20 * SECOND) >= 0);
+        group.start(3);
+        assertTrue(group.untilAgreed(30 * SECOND) >= 0);
+        assertFalse(group.in(0, View.State.LEFT).contains("m3"));
+    }
+}
