--- a/src/main/java/wallmoor/peers/Peers.java
+++ b/src/main/java/wallmoor/peers/Peers.java
@@ -523,15 +523,22 @@
         boolean unsure = now < stoodUntil || yielded || table.present().size() > rules.size() || 2 * reachable == rules.size();
         View.Standing standing = unsure ? View.Standing.CANT_TELL
                 : 2 * reachable > rules.size() ? View.Standing.LARGER : View.Standing.SMALLER;
-        var next = new View(view == null ? 1 : view.version() + 1, quorum(now, doubted), standing, reachable, rules.size(), members);
-        if (view == null || !same(view, next)) {
-            view = next;
-            actions.changed(next, why);
+        boolean quorum = quorum(now, doubted);
+        boolean same = view != null && view.quorum() == quorum && view.standing() == standing && alike(view.members(), members);
+        long version = view == null ? 1 : same ? view.version() : view.version() + 1;
+        view = new View(version, quorum, standing, reachable, rules.size(), members);
+        if (!same) {
+            actions.changed(view, why);
         }
     }
 
-    private static boolean same(View a, View b) {
-        return a.quorum() == b.quorum() && a.standing() == b.standing() && a.reachable() == b.reachable()
-                && a.members().equals(b.members());
+    /** One more that doubts a suspected member is evidence, and no change. */
+    private static boolean alike(List<View.Member> a, List<View.Member> b) {
+        boolean alike = a.size() == b.size();
+        for (int i = 0; alike && i < a.size(); i++) {
+            alike = a.get(i).name().equals(b.get(i).name()) && a.get(i).state() == b.get(i).state()
+                    && a.get(i).incarnation() == b.get(i).incarnation() && a.get(i).address().equals(b.get(i).address());
+        }
+        return alike;
     }
 }
--- a/src/test/java/wallmoor/peers/PeersPropertiesTest.java
+++ b/src/test/java/wallmoor/peers/PeersPropertiesTest.java
@@ -109,6 +109,24 @@
         assertEquals(views.get(0), views.get(1));
     }
 
+    /** What fails together goes together, in one or two changes everywhere and not one for each that doubts. */
+    @Example
+    void manyKilledAtOnceAreFewChanges() {
+        GroupModel group = started(40, 12);
+        group.run(20 * SECOND);
+        long before = group.changes(0);
+        IntStream.range(30, 34).forEach(group::kill);
+        var lists = new java.util.LinkedHashSet<List<String>>();
+        for (int i = 0; i < 200; i++) {
+            group.run(SECOND / 20);
+            lists.add(group.in(0, View.State.REMOVED));
+        }
+        assertEquals(List.of("m30", "m31", "m32", "m33"), group.in(0, View.State.REMOVED));
+        assertTrue(lists.size() <= 3, lists.toString());
+        assertTrue(group.changes(0) - before <= 4 + 2, "four suspected and at most two cuts: " + (group.changes(0) - before));
+        assertTrue(group.agreed());
+    }
+
     /** What a dead member said long ago, played again, does not bring it back. */
     @Example
     void noDeadMemberIsBackByAnOldMessage() {
