Accuse a new life at once where its observers still don't hear the member

Cause, found on reading and shown on the model: an observer accused a member once until it heard it. A member that hears all and is heard by one alone refuted each doubt through that one; the new life voided all doubts, nobody accused it again, and 39 of 40 that could not reach it held it alive.

Change: a refutation is answered by a new accusation where the observer still hears nothing, unless the process is another one; a member refutes every three intervals at most, or those that don't hear it could never agree.

--- a/src/main/java/wallmoor/peers/Peers.java
+++ b/src/main/java/wallmoor/peers/Peers.java
@@ -59,6 +59,8 @@
         boolean asked;
         long heardAt;
         boolean accused;
+        long boot;
+        long life;
     }
 
     private record Relay(String origin, long seq, long until) {
@@ -89,6 +91,7 @@
     private long exchangeAt;
     private long doubtsAt;
     private long cutSince = -1;
+    private long refutedAt;
     private int taken;
     private boolean yielded;
     private boolean left;
@@ -286,8 +289,10 @@
                 return;
             }
             live(now, t.incarnation() + 1);
-        } else if (n instanceof Doubt d && d.on() && d.incarnation() >= self.incarnation()) {
+        } else if (n instanceof Doubt d && d.on() && d.incarnation() >= self.incarnation()
+                && (refutations == 0 || now - refutedAt >= rules.accuse())) { // or those that never hear it could never agree
             refutations++;
+            refutedAt = now;
             live(now, d.incarnation() + 1);
         } else if (n instanceof Told t && t.left() && t.incarnation() >= self.incarnation()) {
             live(now, t.incarnation() + 1);
@@ -355,6 +360,7 @@
             Watch w = watches.computeIfAbsent(name, n -> {
                 var fresh = new Watch();
                 fresh.heardAt = now;
+                fresh.boot = table.get(n).told.boot();
                 fresh.nextAt = now + (long) (rules.interval() * random.nextDouble());
                 return fresh;
             });
@@ -365,7 +371,13 @@
                 others(rules.helpers()).stream().filter(h -> !h.told.name().equals(name))
                         .forEach(h -> actions.send(h.told.address(), message(Message.Kind.ASK, w.seq, name, carry(h.told.name()))));
             }
-            if (!w.accused && now - w.heardAt > patience(rules.accuse()) && now >= stoodUntil) {
+            if (w.boot != e.told.boot()) { // another process: nothing is held against it
+                w.boot = e.told.boot();
+                w.heardAt = now;
+                w.accused = false;
+            }
+            boolean again = w.accused && w.life != e.told.incarnation(); // its word that it is there, and still unheard
+            if ((!w.accused || again) && now - w.heardAt > patience(rules.accuse()) && now >= stoodUntil) {
                 accuse(now, w, e);
             }
             if (now >= w.nextAt) {
@@ -389,6 +401,7 @@
 
     private void accuse(long now, Watch w, Table.Entry e) {
         w.accused = true;
+        w.life = e.told.incarnation();
         accusations++;
         doubt(now, e, true);
     }
--- a/src/test/java/wallmoor/peers/PeersPropertiesTest.java
+++ b/src/test/java/wallmoor/peers/PeersPropertiesTest.java
@@ -109,6 +109,19 @@
         assertEquals(views.get(0), views.get(1));
     }
 
+    /** One that hears of each doubt and says through a single other that it is there, while its observers never hear it. */
+    @Example
+    void oneThatIsHeardByOneAloneIsCutForAllItsRefutations() {
+        GroupModel group = started(40, 21);
+        group.link((from, to, now, r) -> from == 9 && to != 0 ? -1 : 2_000);
+        boolean cut = false;
+        for (int s = 0; s < 30 && !cut; s++) {
+            group.run(SECOND);
+            cut = IntStream.range(1, 40).filter(i -> i != 9).allMatch(i -> group.in(i, View.State.REMOVED).equals(List.of("m9")));
+        }
+        assertTrue(cut, group.view(1).toString());
+    }
+
     /** What fails together goes together, in one or two changes everywhere and not one for each that doubts. */
     @Example
     void manyKilledAtOnceAreFewChanges() {
