--- a/src/main/java/wallmoor/decision/Brain.java
+++ b/src/main/java/wallmoor/decision/Brain.java
@@ -76,6 +76,8 @@
     /** Bounds on how worth for work shifts that share. */
     private static final double ADMIT_LEAST = 0.7;
     private static final double ADMIT_MOST = 1.2;
+    /** Tries whose times differ by less than this share of the class's time for all tries are alike. */
+    private static final double SAME_TRY = 0.02;
     /** Work of a part of the second step, in parts of the first. */
     private static final double FOLLOW_WORK = 0.5;
     /** Query time over the mean of its parts' expected times, before it is learnt; at most one a part. */
@@ -121,7 +123,7 @@
     private final Open open = new Open();
     private final List<Smoothed> typical = new ArrayList<>();
     private final List<Smoothed> stretch = new ArrayList<>();
-    private final FirstTries firstTries;
+    private final List<Smoothed> tryTime = new ArrayList<>();
     private final List<WindowCounter> tenantUse = new ArrayList<>();
     private final Map<Integer, Long> banned = new LinkedHashMap<>();
     private final Smoothed meanHint = new Smoothed(FLEET_STEP);
@@ -170,9 +172,9 @@
         for (QueryClass ignored : settings.classes()) {
             typical.add(new Smoothed(FLEET_STEP));
             stretch.add(new Smoothed(LATENCY_STEP));
+            tryTime.add(new Smoothed(LATENCY_STEP));
         }
         settings.tenants().forEach(t -> tenantUse.add(new WindowCounter(TENANT_WINDOW)));
-        firstTries = new FirstTries(settings.classes(), settings.clientsMarkRetry());
         shares = new ClassShares(settings.classes(), settings.costs().worstClass());
         taken = new WindowCounter(Math.max(1, settings.rules().budgetWindow() - settings.round()));
         extras = new WindowCounter(settings.rules().budgetWindow() + settings.round());
@@ -217,7 +219,7 @@
             }
         }
         QueryClass kind = settings.classes().get(index);
-        long first = firstTries.firstAsked(index, now, q.deadline() - now, q.repeat());
+        long first = firstTry(q, index);
         if (kind.lateWorth() > 0 && first + kind.aim() - now < typical(index)) {
             worthShare *= kind.lateWorth();
             first = now;
@@ -228,6 +230,21 @@
         sweepSoon();
     }
 
+    /**
+     * When the client first asked: its aim runs from there, and a repeat that comes too late takes no work.
+     * First tries all have the same time; a marked repeat with another one has what is left of the class's
+     * time for all tries. Where clients don't mark repeats, each query counts as a first one.
+     */
+    private long firstTry(QueryArrived q, int index) {
+        long left = q.deadline() - now;
+        long all = settings.classes().get(index).giveUp();
+        boolean usual = Math.abs(left - tryTime.get(index).or(left)) < SAME_TRY * all;
+        if (!q.repeat()) {
+            tryTime.get(index).add(left);
+        }
+        return q.repeat() && settings.clientsMarkRetry() && !usual ? Math.min(now, q.deadline() - all) : now;
+    }
+
     /** A part of a query has arrived, of its first step or its second. */
     public void onPart(long at, PartArrived p) {
         tick(at);
