--- a/src/main/java/wallmoor/config/EdgeConfig.java
+++ b/src/main/java/wallmoor/config/EdgeConfig.java
@@ -32,11 +32,11 @@
         boolean on = at.flag("enabled", true);
         Path devices = folder.resolve(at.required("devices"));
         Section http = at.section("http");
-        InetSocketAddress httpAt = listen(http);
+        InetSocketAddress httpAt = http.address("listen");
         int clients = http.whole("most_clients", 1000, 1, 20_000);
         http.end();
         Section coap = at.section("coap");
-        InetSocketAddress coapAt = listen(coap);
+        InetSocketAddress coapAt = coap.address("listen");
         coap.end();
         if (httpAt == null && coapAt == null) {
             at.fault("http", "neither http.listen nor coap.listen is there");
@@ -54,16 +54,4 @@
         at.end();
         return on ? config : null;
     }
-
-    private static InetSocketAddress listen(Section at) {
-        if (!at.has("listen")) {
-            return null;
-        }
-        try {
-            return Launch.address("listen", at.text("listen", ""));
-        } catch (ConfigException e) {
-            at.fault("listen", "is not ADDRESS:PORT: " + at.text("listen", ""));
-            return null;
-        }
-    }
 }
--- a/src/main/java/wallmoor/config/FleetConfig.java
+++ b/src/main/java/wallmoor/config/FleetConfig.java
@@ -1,7 +1,6 @@
 package wallmoor.config;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -26,11 +25,12 @@
         if (!installation.isEmpty() && !installation.matches("[!-~]{1,64}")) {
             at.fault("installation", "is no name of 1 to 64 letters: " + installation);
         }
-        InetSocketAddress listen = address(at, "listen", at.required("listen"));
+        at.required("listen");
+        InetSocketAddress listen = at.address("listen");
         String address = at.text("address", at.text("listen", ""));
-        address(at, "address", address);
-        var seeds = new ArrayList<String>(at.texts("seeds"));
-        seeds.forEach(s -> address(at, "seeds", s));
+        at.address("address");
+        List<String> seeds = at.texts("seeds");
+        at.addresses("seeds");
         if (seeds.isEmpty() || seeds.size() > MOST_SEEDS) {
             at.fault("seeds", "is absent, empty or holds more than " + MOST_SEEDS);
         }
@@ -39,13 +39,4 @@
         at.end();
         return on ? new FleetConfig(installation, listen, address, List.copyOf(seeds), size, interval) : null;
     }
-
-    private static InetSocketAddress address(Section at, String key, String text) {
-        try {
-            return text.isEmpty() ? null : Launch.address(key, text);
-        } catch (ConfigException e) {
-            at.fault(key, "holds what is not ADDRESS:PORT: " + text);
-            return null;
-        }
-    }
 }
--- a/src/main/java/wallmoor/config/OgcConfig.java
+++ b/src/main/java/wallmoor/config/OgcConfig.java
@@ -59,12 +59,8 @@
         if (base != null && !base.matches("https?://[!-~]+[^/]")) {
             at.fault("base", "is no URL without a slash at its end: " + base);
         }
-        InetSocketAddress listen = null;
-        try {
-            listen = Launch.address("listen", at.required("listen"));
-        } catch (ConfigException e) {
-            at.fault("listen", "is not ADDRESS:PORT: " + at.text("listen", ""));
-        }
+        at.required("listen");
+        InetSocketAddress listen = at.address("listen");
         var config = new OgcConfig(listen, base, at.text("title", launch.name()),
                 folder.resolve(at.required("inventory")), layout, collections);
         at.end();
--- a/src/main/java/wallmoor/config/Operator.java
+++ b/src/main/java/wallmoor/config/Operator.java
@@ -158,10 +158,7 @@
 
     private static Dns dns(Section at, Launch launch) {
         boolean on = at.flag("enabled", true);
-        var servers = new ArrayList<InetSocketAddress>();
-        for (String text : at.texts("servers")) {
-            address(at, "servers", text, servers);
-        }
+        List<InetSocketAddress> servers = at.addresses("servers");
         if (servers.isEmpty()) {
             at.fault("servers", "is absent, empty or holds no address: no system's resolver is asked instead");
         }
@@ -182,7 +179,7 @@
         if (names.isEmpty()) {
             at.fault("names", "is absent or empty");
         }
-        var dns = new Dns(List.copyOf(servers), List.copyOf(names), at.time("most_age", 3_600_000, 1000, 30 * DAY_MILLIS),
+        var dns = new Dns(servers, List.copyOf(names), at.time("most_age", 3_600_000, 1000, 30 * DAY_MILLIS),
                 at.time("least_ttl", 1000, 100, DAY_MILLIS), at.time("most_ttl", 300_000, 1000, DAY_MILLIS),
                 at.time("timeout", 1500, 50, 10_000), at.whole("most_records", 1000, 1, MOST_NODES),
                 at.decimal("leaving", 0.2, 0.01, 1));
@@ -193,14 +190,6 @@
         return on ? dns : null;
     }
 
-    private static void address(Section at, String key, String text, List<InetSocketAddress> to) {
-        try {
-            to.add(Launch.address(key, text));
-        } catch (ConfigException e) {
-            at.fault(key, "holds what is not ADDRESS:PORT: " + text);
-        }
-    }
-
     private static LogConfig logging(Section at) {
         boolean json = at.value("format", false, t -> switch (t) {
             case "text" -> false;
--- a/src/main/java/wallmoor/config/Section.java
+++ b/src/main/java/wallmoor/config/Section.java
@@ -1,10 +1,12 @@
 package wallmoor.config;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Function;
 import org.apache.commons.text.similarity.LevenshteinDistance;
@@ -119,6 +121,25 @@
         return value(key, otherwise, Function.identity(), "is no text");
     }
 
+    /** An address that need not be there: null without it, or where it is none, which is a fault. */
+    InetSocketAddress address(String key) {
+        return has(key) ? address(key, text(key, ""), "is not") : null;
+    }
+
+    /** The addresses of a list; those that are none are faults and left out. */
+    List<InetSocketAddress> addresses(String key) {
+        return texts(key).stream().map(t -> address(key, t, "holds what is not")).filter(Objects::nonNull).toList();
+    }
+
+    private InetSocketAddress address(String key, String text, String fault) {
+        try {
+            return Launch.address(key, text);
+        } catch (ConfigException e) {
+            fault(key, fault + " ADDRESS:PORT: " + text);
+            return null;
+        }
+    }
+
     /** A text that must be there; its absence is a fault, and gives an empty one. */
     String required(String key) {
         String text = text(key, null);
--- a/src/test/java/wallmoor/net/GroupTest.java
+++ b/src/test/java/wallmoor/net/GroupTest.java
@@ -3,9 +3,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -49,18 +47,8 @@
             Files.writeString(operator, "fleet:\n  installation: test\n  listen: 127.0.0.1:" + ports.get(number)
                     + "\n  address: " + relay.address(number) + "\n  seeds: [\"127.0.0.1:9\", \"" + relay.address(0) + "\", \""
                     + relay.address(1) + "\"]\n  size: " + ports.size() + "\n  interval: " + INTERVAL + "\n");
-            process = Program.launch("{\"name\":\"m" + number + "\",\"listen\":\"127.0.0.1:" + Program.freePort()
-                    + "\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"8c1f30d27a5be96" + number + "\",\"settings\":" + Program.SETTINGS + "}",
-                    operator);
-            var reader = new Thread(() -> {
-                try (var lines = new BufferedReader(new InputStreamReader(process.getErrorStream()))) {
-                    lines.lines().forEach(log::add);
-                } catch (IOException | RuntimeException e) {
-                    log.add("log ended: " + e);
-                }
-            });
-            reader.setDaemon(true);
-            reader.start();
+            process = Program.launch(Program.config("m" + number, Program.SEED + number, Program.freePort(), 1, "", 1024), operator);
+            Program.read(process, log);
         }
 
         /** What its latest view says, from the quorum on; empty before the first. */
@@ -91,10 +79,6 @@
             }
             assertEquals(IntStream.rangeClosed(1, versions.size()).boxed().toList(), versions);
         }
-
-        void signal(String name) throws Exception {
-            new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
-        }
     }
 
     private void start(int count) throws Exception {
@@ -160,10 +144,10 @@
     @Test
     public void onePausedIsBackByItselfAndHasNobodyElseRemoved() throws Exception {
         start(FIVE);
-        members.get(1).signal("STOP");
+        Program.signal(members.get(1).process, "STOP");
         awaitAll("it is missed", new int[] {0, 2, 3, 4}, alive(FIVE, 0, 2, 3, 4) + " removed=m1");
         Thread.sleep(2_000);
-        members.get(1).signal("CONT");
+        Program.signal(members.get(1).process, "CONT");
         awaitAll("it is back", IntStream.range(0, FIVE).toArray(), alive(FIVE, 0, 1, 2, 3, 4));
         for (Member m : members) {
             assertTrue(IntStream.of(0, 2, 3, 4).noneMatch(n -> m.everSaid("removed=m" + n)));
--- a/src/test/java/wallmoor/net/LongLifeTest.java
+++ b/src/test/java/wallmoor/net/LongLifeTest.java
@@ -119,9 +119,7 @@
         worker = new StandIn.Worker(id -> "ok");
         open.add(worker);
         int port = Program.freePort();
-        Process process = Program.launch("{\"name\":\"t\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:1\","
-                + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"known\":{\"revision\":41,\"complete\":true,"
-                + "\"members\":[" + worker.member("a", 0, "SERVING") + "]},\"settings\":" + Program.SETTINGS + "}", null);
+        Process process = Program.launch(Program.config("t", Program.SEED, port, 1, worker.member("a", 0, "SERVING"), 1024), null);
         open.add(() -> process.destroyForcibly().onExit().join());
         var asked = new ArrayList<Client>();
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(15);
--- a/src/test/java/wallmoor/net/Program.java
+++ b/src/test/java/wallmoor/net/Program.java
@@ -28,6 +28,8 @@
               "OverloadFor":2000000,"GraceToAnswer":20000,"AskWithin":10000000},
              "Costs":{"CrossZone":0.026,"Waste":0.077}}""";
 
+    static final long SEED = 0x8c1f30d27a5be964L;
+
     final List<String> log = Collections.synchronizedList(new ArrayList<>());
     final int port;
     final Process process;
@@ -44,8 +46,20 @@
     Program(int discovery, String members, Path operator, int sockets) throws Exception {
         port = freePort();
         this.sockets = sockets;
-        Files.writeString(file, config(discovery, members));
+        Files.writeString(file, config("t", SEED, port, discovery, members, sockets));
         process = launch(file, operator);
+        read(process, log);
+        await("ready", () -> {
+            try {
+                return Client.get(port, "/-/ready").status == 200;
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    /** What a process says on standard error, a line at a time. */
+    static void read(Process process, List<String> log) {
         var reader = new Thread(() -> {
             try (var lines = new BufferedReader(new InputStreamReader(process.getErrorStream()))) {
                 lines.lines().forEach(log::add);
@@ -55,30 +69,29 @@
         });
         reader.setDaemon(true);
         reader.start();
-        await("ready", () -> {
-            try {
-                return Client.get(port, "/-/ready").status == 200;
-            } catch (IOException e) {
-                return false;
-            }
-        });
     }
 
-    private String config(int discovery, String members) {
-        return "{\"name\":\"t\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discovery
-                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":{\"revision\":41,"
-                + "\"complete\":true,\"members\":[" + members + "]},\"settings\":" + SETTINGS + "}";
+    /** A configuration; those of a group need a seed each, or they would be in step. */
+    static String config(String name, long seed, int port, int discovery, String members, int sockets) {
+        return "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discovery
+                + "\",\"seed\":\"" + Long.toHexString(seed) + "\",\"limits\":{\"sockets\":" + sockets
+                + "},\"known\":{\"revision\":41,\"complete\":true,\"members\":[" + members + "]},\"settings\":" + SETTINGS + "}";
     }
 
     /** Replaces the configuration by one with this discovery, or by the text given, and says so by SIGHUP. */
     void reload(int discovery, String instead) throws Exception {
-        Files.writeString(file, instead != null ? instead : config(discovery, ""));
+        Files.writeString(file, instead != null ? instead : config("t", SEED, port, discovery, "", sockets));
         hangUp();
     }
 
     /** SIGHUP: the files are read again. */
     void hangUp() throws Exception {
-        new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor();
+        signal(process, "HUP");
+    }
+
+    /** Sends a signal, by its name without SIG. */
+    static void signal(Process process, String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
     }
 
     static Process launch(String config, Path operator) throws IOException {
