Derive the group's quorum from its side, and work doubts out once a change

Need, seen on reading the change again: quorum and standing held the same three conditions in two places, and each tick worked out who is doubted twice and who is reachable three times, though it follows from the table alone. Observers' words were held against the witnesses a second time, which can drop none. A doubt that had been taken back made digests differ for good from those that never knew it, so that whole tables were exchanged at each meeting. PeerSocket took an address apart by itself and would have looked up a name that another had told.

Change: View.quorum is the larger side; Peers.standing is the one rule. Table keeps doubts until something changes, and its digest counts those that hold. Entry.isOver says when a life is over. Rules.tick is the one tick of program and model. Launch.address reads what others tell. What nobody called is gone.

--- a/src/main/java/wallmoor/model/GroupModel.java
+++ b/src/main/java/wallmoor/model/GroupModel.java
@@ -17,8 +17,6 @@
  * give the same run. Never used by {@code serve}. It must not know how the deciders decide.
  */
 public final class GroupModel {
-    private static final int TICKS = 10;
-
     /** What the network does to a message. */
     public interface Link {
         /** Microseconds that it is on its way; negative where it is lost. */
@@ -94,8 +92,7 @@
         m.unread.clear();
         m.peers = new Peers(name(number), "a" + number, now + m.life, List.of("a0", "a1"), rules, random.nextLong(), m);
         m.peers.onStart(now);
-        long tick = rules.interval() / TICKS;
-        events.add(new Event(now + random.nextLong(tick), ++orders, number, m.life, null));
+        events.add(new Event(now + random.nextLong(rules.tick()), ++orders, number, m.life, null));
     }
 
     /** Starts all of them at once. */
@@ -148,17 +145,12 @@
                 List<Message> late = List.copyOf(m.unread);
                 m.unread.clear();
                 late.forEach(l -> m.peers.onMessage(now, l));
-                events.add(new Event(now + rules.interval() / TICKS, ++orders, e.to, e.life, null));
+                events.add(new Event(now + rules.tick(), ++orders, e.to, e.life, null));
             }
         }
         now = end;
     }
 
-    /** Microseconds since the model began. */
-    public long now() {
-        return now;
-    }
-
     /** Messages sent so far, lost ones included. */
     public long sent() {
         return sent;
@@ -211,7 +203,7 @@
             if (agreed()) {
                 return now - begun;
             }
-            run(rules.interval() / TICKS);
+            run(rules.tick());
         }
         return agreed() ? now - begun : -1;
     }
--- a/src/main/java/wallmoor/peers/Peers.java
+++ b/src/main/java/wallmoor/peers/Peers.java
@@ -161,9 +161,7 @@
             return;
         }
         Table.Entry before = table.get(m.from().name());
-        boolean old = before != null && (before.removed >= m.from().incarnation()
-                || before.told.incarnation() > m.from().incarnation() || before.told.left() && before.told.incarnation() >= m.from().incarnation());
-        if (old) {
+        if (before != null && before.isOver(m.from().incarnation())) {
             stale++; // what it decided while it was out of date is not taken up
             if (m.kind() != Message.Kind.ACK && m.kind() != Message.Kind.TABLE) {
                 actions.send(m.from().address(), message(Message.Kind.ACK, m.seq(), null, about(m.from().name())));
@@ -214,11 +212,6 @@
         return new Counts(probes, probesFailed, accusations, refutations, removals, stale);
     }
 
-    /** Whether another process of this name was here before: this one takes no part then. */
-    public boolean yielded() {
-        return yielded;
-    }
-
     // ---- meeting ------------------------------------------------------------------------------------------
 
     /** Exchanges with a member at random, and with a seed or one that went: so two sides of a cut find each other again. */
@@ -232,14 +225,14 @@
         } else if (!seeds.isEmpty()) {
             to.add(seeds.get(random.nextInt(seeds.size())));
         }
-        table.all().stream().filter(e -> e.isRemoved() && !e.told.left()).skip(to.size() > 8 ? 8 : 0).limit(1)
+        table.all().stream().filter(e -> e.isRemoved() && !e.told.left()).limit(1)
                 .forEach(e -> to.add(e.told.address()));
         to.stream().sorted().forEach(a -> actions.send(a, message(Message.Kind.EXCHANGE, ASKED, null, carry(null))));
     }
 
     /** All that is known, in as many messages as it takes; of a very large table a part that differs each time. */
     private void tell(String address) {
-        List<News> all = new ArrayList<>(table.news());
+        List<News> all = table.news();
         int most = rules.news() * TABLE_MESSAGES;
         if (all.size() > most) {
             java.util.Collections.shuffle(all, random);
@@ -430,7 +423,7 @@
     private void acked(long now, Message m) {
         Relay relay = relays.remove(m.seq());
         if (relay != null) {
-            actions.send(relay.origin(), new Message(Message.Kind.ACK, self, relay.seq(), m.from().name(), table.digest(), carry(null)));
+            actions.send(relay.origin(), message(Message.Kind.ACK, relay.seq(), m.from().name(), carry(null)));
             return;
         }
         String name = m.about() != null ? m.about() : m.from().name();
@@ -470,15 +463,13 @@
         boolean more = false;
         for (var d : doubted.entrySet()) {
             Set<String> witnesses = table.witnesses(d.getKey(), doubted);
-            var by = new HashSet<>(d.getValue());
-            by.retainAll(witnesses);
-            if (!witnesses.isEmpty() && by.size() >= needed(witnesses.size())) {
+            if (!witnesses.isEmpty() && d.getValue().size() >= needed(witnesses.size())) {
                 ripe.add(table.get(d.getKey()));
             } else {
                 more |= d.getValue().size() >= 2;
             }
         }
-        if (ripe.isEmpty() || now < stoodUntil || !quorum(now, doubted)) {
+        if (ripe.isEmpty() || standing(now, reachable(doubted)) != View.Standing.LARGER) {
             cutSince = -1;
             return;
         }
@@ -513,8 +504,11 @@
         return n;
     }
 
-    private boolean quorum(long now, Map<String, Set<String>> doubted) {
-        return now >= stoodUntil && !yielded && table.present().size() <= rules.size() && 2 * reachable(doubted) > rules.size();
+    private View.Standing standing(long now, int reachable) {
+        if (now < stoodUntil || yielded || table.present().size() > rules.size() || 2 * reachable == rules.size()) {
+            return View.Standing.CANT_TELL;
+        }
+        return 2 * reachable > rules.size() ? View.Standing.LARGER : View.Standing.SMALLER;
     }
 
     /** Tells of the view if it has changed. */
@@ -533,13 +527,10 @@
                     doubted.getOrDefault(e.told.name(), Set.of()).stream().sorted().toList()));
         }
         int reachable = reachable(doubted);
-        boolean unsure = now < stoodUntil || yielded || table.present().size() > rules.size() || 2 * reachable == rules.size();
-        View.Standing standing = unsure ? View.Standing.CANT_TELL
-                : 2 * reachable > rules.size() ? View.Standing.LARGER : View.Standing.SMALLER;
-        boolean quorum = quorum(now, doubted);
-        boolean same = view != null && view.quorum() == quorum && view.standing() == standing && alike(view.members(), members);
+        View.Standing standing = standing(now, reachable);
+        boolean same = view != null && view.standing() == standing && alike(view.members(), members);
         long version = view == null ? 1 : same ? view.version() : view.version() + 1;
-        view = new View(version, quorum, standing, reachable, rules.size(), members);
+        view = new View(version, standing, reachable, rules.size(), members);
         if (!same) {
             actions.changed(view, why);
         }
--- a/src/main/java/wallmoor/peers/Rules.java
+++ b/src/main/java/wallmoor/peers/Rules.java
@@ -20,6 +20,13 @@
 public record Rules(int size, long interval, long timeout, long accuse, long settle, long quiet, long exchange, long keep,
         long pause, int rings, int helpers, int news, int members) {
     private static final long SECOND = 1_000_000;
+    /** Ticks an interval: probes that time out after three tenths of it are seen soon enough. */
+    private static final int TICKS = 10;
+
+    /** Time between two ticks. */
+    public long tick() {
+        return interval / TICKS;
+    }
 
     /** The usual figures for a group of so many. */
     public static Rules of(int size) {
--- a/src/main/java/wallmoor/peers/Table.java
+++ b/src/main/java/wallmoor/peers/Table.java
@@ -31,6 +31,11 @@
             this.since = since;
         }
 
+        /** Whether this life is over: a newer one is known, or it was removed or has left. */
+        boolean isOver(long incarnation) {
+            return incarnation < told.incarnation() || incarnation <= removed || incarnation == told.incarnation() && told.left();
+        }
+
         boolean isRemoved() {
             return removed >= told.incarnation();
         }
@@ -44,13 +49,19 @@
     private final Rules rules;
     private final TreeMap<String, Entry> entries = new TreeMap<>();
     private Rings rings;
-    /** Null where something has changed since it was made. */
+    /** Both null where something has changed since they were made. */
     private Long digest;
+    private Map<String, Set<String>> doubted;
 
     Table(Rules rules) {
         this.rules = rules;
     }
 
+    private void changed() {
+        digest = null;
+        doubted = null;
+    }
+
     Entry get(String name) {
         return entries.get(name);
     }
@@ -86,7 +97,7 @@
             e.doubts.values().removeIf(d -> d.incarnation() < told.incarnation());
         }
         rings = null;
-        digest = null;
+        changed();
         return true;
     }
 
@@ -101,26 +112,33 @@
             return false;
         }
         e.doubts.put(doubt.by(), doubt);
-        digest = null;
+        changed();
         return true;
     }
 
     void remove(Entry e) {
         e.removed = e.told.incarnation();
         rings = null;
-        digest = null;
+        changed();
     }
 
     /** Forgets those that went long ago, and doubts of observers that are no longer there. */
     void forget(long before) {
         if (entries.values().removeIf(e -> !e.present() && e.since < before)) {
             entries.values().forEach(e -> e.doubts.keySet().removeIf(by -> !entries.containsKey(by)));
-            digest = null;
+            changed();
         }
     }
 
     /** Members in doubt, each with the observers whose word counts: those on its rings that are no longer heard themselves don't. */
     Map<String, Set<String>> doubted() {
+        if (doubted == null) {
+            doubted = witnessed();
+        }
+        return doubted;
+    }
+
+    private Map<String, Set<String>> witnessed() {
         var all = new HashMap<String, Set<String>>();
         for (Entry e : entries.values()) {
             if (e.present() && e.doubts.values().stream().anyMatch(News.Doubt::on)) {
@@ -159,7 +177,7 @@
         for (Entry e : entries.values()) {
             long one = 31L * e.told.name().hashCode() + e.told.incarnation() * 1_000_003L + (e.told.left() ? 7 : 0);
             for (News.Doubt d : e.doubts.values()) {
-                one = one * 31 + (d.on() ? d.by().hashCode() : 0);
+                one = d.on() ? one * 31 + d.by().hashCode() : one; // who never knew a doubt knows no less than who knows its end
             }
             sum += Rings.mix(one);
         }
--- a/src/main/java/wallmoor/peers/View.java
+++ b/src/main/java/wallmoor/peers/View.java
@@ -6,14 +6,12 @@
  * Who is there, as one member sees it.
  *
  * @param version   of this process' own; each change has the next
- * @param quorum    whether more than half of the group can be reached; without it nobody is removed, and no decision
- *                  that rests on the group may be put into force
  * @param standing  what this member's side of the group is, as far as it can tell
  * @param reachable members not in doubt, this one included
  * @param size      members that there are meant to be
  * @param members   by name
  */
-public record View(long version, boolean quorum, Standing standing, int reachable, int size, List<Member> members) {
+public record View(long version, Standing standing, int reachable, int size, List<Member> members) {
 
     /** A side's place in the group. */
     public enum Standing {
@@ -37,13 +35,11 @@
     public record Member(String name, String address, long incarnation, State state, long since, List<String> doubted) {
     }
 
-    /** How many take part: alive or suspected. */
-    public long present() {
-        return members.stream().filter(m -> m.state() == State.ALIVE || m.state() == State.SUSPECTED).count();
-    }
-
-    /** How many are alive. */
-    public long alive() {
-        return members.stream().filter(m -> m.state() == State.ALIVE).count();
+    /**
+     * Whether more than half of the group is on this side. Without a quorum nobody is removed, and no decision that rests
+     * on the group may be put into force.
+     */
+    public boolean quorum() {
+        return standing == Standing.LARGER;
     }
 }
--- a/src/main/java/wallmoor/peers/udp/PeerSocket.java
+++ b/src/main/java/wallmoor/peers/udp/PeerSocket.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import wallmoor.config.Launch;
 import wallmoor.http.Threads;
 import wallmoor.peers.Message;
 import wallmoor.peers.Peers;
@@ -23,8 +24,6 @@
  * The kernel's receive buffer is the only queue: what does not fit there is lost, as datagrams may be.
  */
 public final class PeerSocket {
-    /** Ticks an interval: probes that time out after three tenths of it are seen soon enough. */
-    private static final int TICKS = 10;
     private static final int RECEIVE_BUFFER = 256 * 1024;
 
     /** Where this member takes part. All of it is checked where it is read. */
@@ -62,7 +61,7 @@
         }
         socket = new DatagramSocket(place.listen());
         socket.setReceiveBufferSize(RECEIVE_BUFFER);
-        tickMillis = Math.max(1, rules.interval() / 1000 / TICKS);
+        tickMillis = Math.max(1, rules.tick() / 1000);
         long boot = System.currentTimeMillis() * 1000 + seed % 1000;
         peers = new Peers(place.name(), place.address(), Math.abs(boot), place.seeds(), rules, seed, new Decided());
     }
@@ -86,13 +85,6 @@
         socket.close();
     }
 
-    /** The view as it is. */
-    public View view() {
-        synchronized (peers) {
-            return peers.view();
-        }
-    }
-
     /** What came and went, and what was dropped and why, as one line. */
     public String counters() {
         Peers.Counts c;
@@ -170,8 +162,7 @@
 
     private void send(Out o) {
         try {
-            int colon = o.address().lastIndexOf(':');
-            var to = new InetSocketAddress(o.address().substring(0, colon), Integer.parseInt(o.address().substring(colon + 1)));
+            InetSocketAddress to = Launch.address("address", o.address()); // looks no name up, whatever others told
             socket.send(new DatagramPacket(o.bytes(), o.bytes().length, to));
             sent.incrementAndGet();
             bytes.addAndGet(o.bytes().length);
--- a/src/test/java/wallmoor/LayersTest.java
+++ b/src/test/java/wallmoor/LayersTest.java
@@ -39,7 +39,7 @@
             entry("peers"),
             // drives the real deciders on one clock; never used by serve
             entry("model", "peers"),
-            entry("peers.udp", "peers", "http"),
+            entry("peers.udp", "peers", "config", "http"),
             entry("service", "peers", "peers.udp", "edge", "edge.http", "edge.coap", "exchange", "platform", "ogc", "frames", "discovery", "inventory", "dns", "sources", "membership",
                     "core", "config", "http", "json", "log", "decision"),
             entry("client"),
