--- a/review/standin/Payments.java
+++ b/review/standin/Payments.java
@@ -17,9 +17,9 @@
     private static final int GIVE_UP_MILLIS = 4_000;
     /** For how long the ledger fleet drops a repeated part, by any holder of its section. */
     private static final int WINDOW_MILLIS = 4_000;
-    /** The work of a part is 120 to 170 ms; the payment is applied before its answer is sent. */
+    /** The work of a part is 120 to 170 ms. Then the host stands still for 200 ms, before its answer is sent. */
     private static final int APPLIED_AFTER_MILLIS = 120;
-    private static final int ANSWERED_AFTER_MILLIS = 170;
+    private static final int ANSWERED_AFTER_MILLIS = 320;
     /** The waits of a client before it repeats; the front layer notices a dead gatherer after 1.7 to 3.6 s. */
     private static final int FIRST_WAIT_MILLIS = 600;
     private static final int SECOND_WAIT_MILLIS = 1_200;
--- a/review/standin/PlannedRestart.java
+++ b/review/standin/PlannedRestart.java
@@ -84,9 +84,9 @@
             var thread = new Thread(() -> send(lab, port, request));
             clients.add(thread);
             thread.start();
-            Thread.sleep(25);
+            Thread.sleep(15);
         }
-        Thread.sleep(50);
+        Thread.sleep(30);
         long termAt = Long.MAX_VALUE;
         if (lab.trouble) {
             termAt = lab.now();
