Send the idempotency key of a query to the workers with each attempt

Cause: PlatformFront.open did not read the header Idempotency-Key, and PreparedCall.add wrote d= alone into the list of a part.

Fix: QueryRequest has the key, PreparedCall encodes it from the query, so first attempts, retries and parallel ones carry the same; the class in force when the query arrives decides, also after SIGHUP. Malformed keys get 400 by name. Related paths: devices' queries carry a hash of device and id, the same at each gatherer; a query without a key (absent header, front for features) is not resent once a part may have run, because no worker could recognise it. The simulator's wire has no field for keys.

The fixture of package frames asserts the key in each call of a guarded class, which is stricter than before.

--- a/src/bench/java/wallmoor/sources/RefreshTime.java
+++ b/src/bench/java/wallmoor/sources/RefreshTime.java
@@ -13,6 +13,7 @@
 import wallmoor.core.Gatherer;
 import wallmoor.core.MonotonicClock;
 import wallmoor.core.Query;
+import wallmoor.core.QueryRequest;
 import wallmoor.core.Step;
 import wallmoor.core.WorkerEndpoint;
 import wallmoor.core.WorkerTransport;
@@ -158,10 +159,10 @@
         try {
             for (int i = 0; !isOver.get(); i++) {
                 long startNanos = System.nanoTime();
-                Query query = gatherer.open("q" + i, 0, gatherer.now() + 1_500_000, false,
+                Query query = gatherer.open(new QueryRequest("q" + i, 0, gatherer.now() + 1_500_000, false, null,
                         List.of(new Query.PartRequest(i % CELLS, 0.5, -1),
                                 new Query.PartRequest((i + 1) % CELLS, 0.5, -1)),
-                        null);
+                        null));
                 gatherer.run(query, workers);
                 to.recordValue(System.nanoTime() - startNanos);
                 Thread.sleep(1);
--- a/src/main/java/wallmoor/adapter/EventReader.java
+++ b/src/main/java/wallmoor/adapter/EventReader.java
@@ -28,6 +28,8 @@
     private static final int HINT_BIT = 1;
     /** The bit of a query's attributes that says that the client marks it as a retry. */
     private static final int RETRY_BIT = 2;
+    /** The simulator has no field for idempotency keys: its workers recognise a repeated part by themselves. */
+    private static final boolean WORKERS_RECOGNISE_REPEATS = true;
 
     /** The worker lists that the simulator has sent, by the number with which events refer to them. */
     private final Map<Integer, List<WorkerListEntry>> workerLists = new HashMap<>();
@@ -88,7 +90,7 @@
         }
         if (isQuery) {
             policy.onQueryArrived(now, new QueryArrived(id, number, queryClass, tenant, key, deadline, hint,
-                    (int) shareOrCount, (attributes & RETRY_BIT) != 0));
+                    (int) shareOrCount, (attributes & RETRY_BIT) != 0, WORKERS_RECOGNISE_REPEATS));
         } else {
             policy.onPartArrived(now, new PartArrived(id, number, shard, shareOrCount, hint));
         }
--- a/src/main/java/wallmoor/core/Gatherer.java
+++ b/src/main/java/wallmoor/core/Gatherer.java
@@ -92,39 +92,36 @@
     /**
      * Opens a query; its thread then calls {@link #awaitStep} until it receives a final step.
      *
-     * @param queryClass the index of the query's class in the settings
-     * @param deadline   the time at which the client gives up, on the gatherer's clock (microseconds)
-     * @param retry      whether the client marked the query as a retry
-     * @param attachment data of the front for its transport, see {@link Query#attachment}
      * @return the query; null if a query with this id is open, or if parts of an earlier query with this id are still
      *         in flight, because a worker would treat the new parts as duplicates of those
      */
-    public Query open(String id, int queryClass, long deadline, boolean retry, List<Query.PartRequest> parts,
-            Object attachment) {
+    public Query open(QueryRequest request) {
         lock.lock();
         try {
-            if (requests.isInUse(id, parts)) {
+            if (requests.isInUse(request.id(), request.parts())) {
                 return null;
             }
-            var query = new Query(id, requests.className(queryClass), deadline, attachment, lock.newCondition());
-            query.addParts(parts);
+            var query = new Query(request, requests.className(request.queryClass()), lock.newCondition());
             long number = requests.add(query);
-            driver.run(() -> {
-                RoutingPolicy policy = driver.policy();
-                policy.onQueryArrived(driver.now(), new QueryArrived(id, number, queryClass, 0, null, deadline,
-                        Absent.VALUE, parts.size(), retry));
-                for (int i = 0; i < parts.size(); i++) {
-                    Query.PartRequest part = parts.get(i);
-                    policy.onPartArrived(driver.now(), new PartArrived(query.parts.get(i).id, number, part.shard(),
-                            part.weight(), part.workHint()));
-                }
-            });
+            driver.run(() -> reportArrival(request, query, number));
             return query;
         } finally {
             lock.unlock();
         }
     }
 
+    private void reportArrival(QueryRequest request, Query query, long number) {
+        RoutingPolicy policy = driver.policy();
+        List<Query.PartRequest> parts = request.parts();
+        policy.onQueryArrived(driver.now(), new QueryArrived(request.id(), number, request.queryClass(), 0, null,
+                query.deadline, Absent.VALUE, parts.size(), request.retry(), request.idempotencyKey() != null));
+        for (int i = 0; i < parts.size(); i++) {
+            Query.PartRequest part = parts.get(i);
+            policy.onPartArrived(driver.now(), new PartArrived(query.parts.get(i).id, number, part.shard(),
+                    part.weight(), part.workHint()));
+        }
+    }
+
     /** Waits for the next step of this query. A {@link Step.FinalStep} is the last one. */
     public Step awaitStep(Query query) throws InterruptedException {
         lock.lock();
--- a/src/main/java/wallmoor/core/Query.java
+++ b/src/main/java/wallmoor/core/Query.java
@@ -40,6 +40,8 @@
     final String className;
     /** The time at which the client gives up, microseconds on the gatherer's clock. */
     final long deadline;
+    /** The key by which workers recognise a repeat of the query's parts; null for none. */
+    private final String idempotencyKey;
     final Object attachment;
     final List<QueryPart> parts = new ArrayList<>();
     final List<Attempt> inFlight = new ArrayList<>();
@@ -56,17 +58,14 @@
     /** True if an attempt has ended with an outcome that does not prove that it never ran. */
     boolean attemptMayHaveRun;
 
-    Query(String id, String className, long deadline, Object attachment, Condition stepAvailable) {
-        this.id = id;
+    Query(QueryRequest request, String className, Condition stepAvailable) {
+        this.id = request.id();
         this.className = className;
-        this.deadline = deadline;
-        this.attachment = attachment;
+        this.deadline = request.deadline();
+        this.idempotencyKey = request.idempotencyKey();
+        this.attachment = request.attachment();
         this.stepAvailable = stepAvailable;
-    }
-
-    /** Adds a part for each request. */
-    void addParts(List<PartRequest> requested) {
-        for (PartRequest part : requested) {
+        for (PartRequest part : request.parts()) {
             parts.add(new QueryPart(OpenRequests.partId(id, part.shard()), part.shard()));
         }
     }
@@ -81,6 +80,11 @@
         return deadline;
     }
 
+    /** Returns the key that each attempt of a part carries to its worker, or null. */
+    public String idempotencyKey() {
+        return idempotencyKey;
+    }
+
     /** Returns the data that the front attached for its transport; may be null. */
     public Object attachment() {
         return attachment;
--- a/src/main/java/wallmoor/decision/QueryClass.java
+++ b/src/main/java/wallmoor/decision/QueryClass.java
@@ -17,4 +17,22 @@
  */
 public record QueryClass(double priorityWeight, double lateValueShare, long latencyObjective, double objectivePerWork,
         long clientTimeout, Idempotency idempotency, long deduplicationWindow, double completeShare,
-        double minimumShare, double partialValue, int followUpParts) {}
+        double minimumShare, double partialValue, int followUpParts) {
+
+    /** Returns whether queries of this class carry an idempotency key. */
+    public boolean usesIdempotencyKey() {
+        return idempotency == Idempotency.WITH_KEY;
+    }
+
+    /**
+     * Returns the class as it applies to a query without an idempotency key: where a store needs the key to recognise
+     * a repeat, a part that may have been executed must not be sent again.
+     */
+    QueryClass withoutIdempotencyKey() {
+        return usesIdempotencyKey()
+                ? new QueryClass(priorityWeight, lateValueShare, latencyObjective, objectivePerWork, clientTimeout,
+                        Idempotency.NOT_IDEMPOTENT, deduplicationWindow, completeShare, minimumShare, partialValue,
+                        followUpParts)
+                : this;
+    }
+}
--- a/src/main/java/wallmoor/decision/RoutingPolicy.java
+++ b/src/main/java/wallmoor/decision/RoutingPolicy.java
@@ -160,7 +160,9 @@
         retryBudget.recordArrival();
         RoutingSettings settings = context.settings();
         int classIndex = Math.min(Math.max(arrival.queryClass(), 0), settings.classes().size() - 1);
-        QueryClass queryClass = settings.classes().get(classIndex);
+        QueryClass classInSettings = settings.classes().get(classIndex);
+        QueryClass queryClass = arrival.withIdempotencyKey() ? classInSettings
+                : classInSettings.withoutIdempotencyKey();
         double weightFactor = quotas.recordQuery(arrival.tenant());
         long now = context.now();
         long clientStartedAt = context.latencies.clientStartTime(now, arrival, classIndex, settings);
--- a/src/main/java/wallmoor/edge/EdgeQueries.java
+++ b/src/main/java/wallmoor/edge/EdgeQueries.java
@@ -15,8 +15,10 @@
 import wallmoor.config.LaunchConfig;
 import wallmoor.core.Gatherer;
 import wallmoor.core.Query;
+import wallmoor.core.QueryRequest;
 import wallmoor.core.Step;
 import wallmoor.core.WorkerTransport;
+import wallmoor.decision.QueryClass;
 import wallmoor.http.Threads;
 import wallmoor.idempotency.IdempotencyKey;
 import wallmoor.idempotency.IdempotencyLimits;
@@ -36,6 +38,7 @@
     private static final long MIN_SLEEP_MILLIS = 5;
     /** The part of a query's time that is reserved for encoding the answer. */
     private static final long ANSWER_RESERVE_MICROS = 5_000;
+    private static final int WORKER_KEY_BYTES = 16;
 
     private final Logger log = LoggerFactory.getLogger(EdgeQueries.class);
     private final Supplier<LaunchConfig> launch;
@@ -155,16 +158,18 @@
         StoredOutcome outcome = failed(true, "internal error");
         boolean clientGone = false;
         try {
-            long clientTimeoutMicros = launch.get().settings().classes().get(edgeRequest.queryClass()).clientTimeout();
+            QueryClass queryClass = launch.get().settings().classes().get(edgeRequest.queryClass());
             long deadline = Math.min(
-                    clock.getAsLong() + Math.min(edgeRequest.timeoutMillis() * 1000, clientTimeoutMicros), lastAnswerAt)
+                    clock.getAsLong() + Math.min(edgeRequest.timeoutMillis() * 1000, queryClass.clientTimeout()),
+                    lastAnswerAt)
                     - ANSWER_RESERVE_MICROS;
             String id;
             synchronized (requests) {
                 id = queryIdPrefix + Long.toString(++queryCount, 36);
             }
-            Query query = gatherer.open(id, edgeRequest.queryClass(), deadline, false, edgeRequest.parts(),
-                    edgeRequest.text());
+            String workerKey = queryClass.usesIdempotencyKey() ? workerKey(requestRecord.key()) : null;
+            Query query = gatherer.open(new QueryRequest(id, edgeRequest.queryClass(), deadline, false, workerKey,
+                    edgeRequest.parts(), edgeRequest.text()));
             runningQuery.query = query;
             if (runningQuery.cancelled) {
                 gatherer.clientDisconnected(query);
@@ -189,6 +194,16 @@
         }
     }
 
+    /**
+     * Returns the key by which workers recognise a repeat of a device's request: the same at every gatherer, as a
+     * device repeats its request elsewhere when a gatherer has failed. 32 hex digits of a hash of the device and its
+     * id, because different devices may use the same id.
+     */
+    static String workerKey(IdempotencyKey key) {
+        byte[] hash = EdgeRequest.sha256((key.device() + "/" + key.id()).getBytes(StandardCharsets.UTF_8));
+        return HexFormat.of().formatHex(hash, 0, WORKER_KEY_BYTES);
+    }
+
     private void complete(RequestRecord requestRecord, RunningQuery runningQuery, StoredOutcome outcome) {
         StoredOutcome stored;
         synchronized (requests) {
--- a/src/main/java/wallmoor/frames/PreparedCall.java
+++ b/src/main/java/wallmoor/frames/PreparedCall.java
@@ -15,15 +15,18 @@
     private final ByteArrayOutputStream contents = new ByteArrayOutputStream(INITIAL_BYTES);
 
     /**
-     * Appends an attempt: the id of its part, its shard, the milliseconds left to answer it, and the query's text.
+     * Appends an attempt: the id of its part, its shard, the milliseconds left to answer it, the query's idempotency
+     * key if it has one, and the query's text. Every attempt of a query, a retry or a parallel one too, has the same
+     * key.
      *
      * @param now the time on the gatherer's clock
      */
     void add(Attempt attempt, long now) {
         attempts.add(attempt);
         byte[] queryText = (byte[]) attempt.query().attachment();
-        String head = attempt.partId() + " " + attempt.shard() + " d=" + attempt.remainingMillis(now) + " "
-                + queryText.length + "\n";
+        String key = attempt.query().idempotencyKey();
+        String head = attempt.partId() + " " + attempt.shard() + " d=" + attempt.remainingMillis(now)
+                + (key == null ? "" : ",k=" + key) + " " + queryText.length + "\n";
         contents.writeBytes(head.getBytes(StandardCharsets.ISO_8859_1));
         contents.writeBytes(queryText);
     }
--- a/src/main/java/wallmoor/ogc/FeatureQueryRunner.java
+++ b/src/main/java/wallmoor/ogc/FeatureQueryRunner.java
@@ -7,6 +7,7 @@
 import wallmoor.core.Gatherer;
 import wallmoor.core.MonotonicClock;
 import wallmoor.core.Query;
+import wallmoor.core.QueryRequest;
 import wallmoor.core.Step;
 import wallmoor.decision.Idempotency;
 import wallmoor.decision.RoutingSettings;
@@ -63,7 +64,8 @@
                 - RESPONSE_RESERVE_MICROS;
         var parts = new ArrayList<Query.PartRequest>();
         shards.forEach(shard -> parts.add(new Query.PartRequest(shard, 1.0 / shards.size(), -1)));
-        Query openQuery = gatherer.open(id, queryClass, deadline, false, parts, query);
+        // requests to feature servers have no field for an idempotency key
+        Query openQuery = gatherer.open(new QueryRequest(id, queryClass, deadline, false, null, parts, query));
         exchange.whenClientDisconnects(() -> gatherer.clientDisconnected(openQuery));
         return gatherer.run(openQuery, transport);
     }
--- a/src/main/java/wallmoor/platform/PlatformFront.java
+++ b/src/main/java/wallmoor/platform/PlatformFront.java
@@ -12,6 +12,7 @@
 import wallmoor.core.Gatherer;
 import wallmoor.core.MonotonicClock;
 import wallmoor.core.Query;
+import wallmoor.core.QueryRequest;
 import wallmoor.core.WorkerTransport;
 import wallmoor.http.ByteSlice;
 import wallmoor.http.ConnectionAcceptor;
@@ -175,13 +176,17 @@
         if (queryText == null || queryClass < 0 || id == null || !QueryHeaders.isRequestId(id)) {
             throw new HttpProtocolException(400, "X-Request-Id, X-Class or q is absent or malformed");
         }
+        var classInForce = configuration.settings().classes().get(queryClass);
         long timeout = Math.min(QueryHeaders.timeoutMicros(request.header("X-Deadline")),
-                configuration.settings().classes().get(queryClass).clientTimeout());
+                classInForce.clientTimeout());
         long deadline = Math.min(clock.fromNanoTime(request.firstByteAt()) + timeout, shutdownAt)
                 - TRANSFER_MARGIN_MICROS;
         boolean retry = "1".equals(request.header("X-Retry"));
-        Query query = gatherer.open(id, queryClass, deadline, retry, parseParts(body),
-                queryText.getBytes(StandardCharsets.UTF_8));
+        String idempotencyKey = classInForce.usesIdempotencyKey()
+                ? QueryHeaders.idempotencyKey(request.header("Idempotency-Key"))
+                : null;
+        Query query = gatherer.open(new QueryRequest(id, queryClass, deadline, retry, idempotencyKey,
+                parseParts(body), queryText.getBytes(StandardCharsets.UTF_8)));
         if (query == null) {
             throw new HttpProtocolException(400, "X-Request-Id is in use");
         }
--- a/src/main/java/wallmoor/platform/QueryHeaders.java
+++ b/src/main/java/wallmoor/platform/QueryHeaders.java
@@ -8,6 +8,7 @@
  */
 final class QueryHeaders {
     private static final int MAX_ID_LENGTH = 64;
+    private static final int MAX_KEY_LENGTH = 255;
     private static final int MAX_INTEGER_DIGITS = 12;
     private static final int MAX_FRACTION_DIGITS = 9;
     private static final double MICROS_PER_MILLI = 1_000;
@@ -16,12 +17,29 @@
 
     /** Returns whether a text is a valid request id: 1 to 64 visible ASCII characters. */
     static boolean isRequestId(String id) {
-        for (int i = 0; i < id.length(); i++) {
-            if (id.charAt(i) < '!' || id.charAt(i) > '~') {
+        return isVisibleAscii(id) && id.length() <= MAX_ID_LENGTH;
+    }
+
+    /**
+     * Returns the idempotency key from the header {@code Idempotency-Key}, or null if the client sent none: 1 to 255
+     * visible ASCII characters without a comma, which separates the fields of a frame.
+     */
+    static String idempotencyKey(String value) throws HttpProtocolException {
+        if (value != null
+                && (!isVisibleAscii(value) || value.indexOf(',') >= 0 || value.length() > MAX_KEY_LENGTH)) {
+            throw new HttpProtocolException(400, "Idempotency-Key is malformed: 1 to " + MAX_KEY_LENGTH
+                    + " visible ASCII characters without a comma are allowed");
+        }
+        return value;
+    }
+
+    private static boolean isVisibleAscii(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) < '!' || text.charAt(i) > '~') {
                 return false;
             }
         }
-        return !id.isEmpty() && id.length() <= MAX_ID_LENGTH;
+        return !text.isEmpty();
     }
 
     /** Returns the timeout of a client in microseconds, parsed from its header {@code X-Deadline}. */
--- a/src/test/java/wallmoor/core/GathererPropertiesTest.java
+++ b/src/test/java/wallmoor/core/GathererPropertiesTest.java
@@ -51,7 +51,7 @@
         for (int shard = 0; shard < parts; shard++) {
             requests.add(new Query.PartRequest(shard, 1.0 / parts, -1));
         }
-        return gatherer.open(id, queryClass, clock.get() + 2_000_000, false, requests, null);
+        return gatherer.open(new QueryRequest(id, queryClass, clock.get() + 2_000_000, false, null, requests, null));
     }
 
     /** The open queries and in-flight attempts of one random run, as a front and its workers would see them. */
--- a/src/test/java/wallmoor/core/GathererTest.java
+++ b/src/test/java/wallmoor/core/GathererTest.java
@@ -71,8 +71,8 @@
     }
 
     private Query open(String id, int queryClass) {
-        return gatherer.open(id, queryClass, clock.get() + 2_000_000, false,
-                List.of(new Query.PartRequest(0, 1, -1)), null);
+        return gatherer.open(new QueryRequest(id, queryClass, clock.get() + 2_000_000, false, null,
+                List.of(new Query.PartRequest(0, 1, -1)), null));
     }
 
     private Step awaitStep(Query query) throws Exception {
@@ -185,8 +185,8 @@
     /** An exception of the transport ends the query's thread; steps that were not handed over are not sent. */
     @Test
     public void cancelsSentAttemptsAndSendsNoMoreIfTransportThrows() throws Exception {
-        Query query = gatherer.open("q", 0, clock.get() + 2_000_000, false,
-                List.of(new Query.PartRequest(0, 0.5, -1), new Query.PartRequest(1, 0.5, -1)), null);
+        Query query = gatherer.open(new QueryRequest("q", 0, clock.get() + 2_000_000, false, null,
+                List.of(new Query.PartRequest(0, 0.5, -1), new Query.PartRequest(1, 0.5, -1)), null));
         var sent = new ArrayList<Step.Send>();
         var cancelled = new ArrayList<Step.Cancel>();
         try {
--- a/src/test/java/wallmoor/core/SendPermissionTest.java
+++ b/src/test/java/wallmoor/core/SendPermissionTest.java
@@ -4,6 +4,7 @@
 import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
 
+import java.util.List;
 import org.junit.Test;
 
 /** Tests each reason for which an attempt may not be sent. */
@@ -11,7 +12,8 @@
     private static final long NOW = 5_000_000;
     private static final String ADDRESS = "10.0.0.1:3000";
 
-    private final Query query = new Query("q", "all", NOW + 500_000, null, null);
+    private final Query query = new Query(
+            new QueryRequest("q", 0, NOW + 500_000, false, null, List.of(), null), "all", null);
     private final Worker worker = new Worker("a");
     private final Attempt attempt = new Attempt(query, new Query.QueryPart("q.0", 0), 0, worker, NOW, NOW + 300_000,
             NOW + 300_000);
--- a/src/test/java/wallmoor/decision/PolicyHarness.java
+++ b/src/test/java/wallmoor/decision/PolicyHarness.java
@@ -108,18 +108,23 @@
 
     /** Sends a query with a part for each shard and returns its id. The ids of parts are id/shard. */
     String query(int queryClass, int... shards) {
-        return query(queryClass, 4_000_000, false, shards);
+        return query(queryClass, 4_000_000, false, true, shards);
+    }
+
+    /** Sends a query whose parts carry no idempotency key. */
+    String queryWithoutKey(int queryClass, int... shards) {
+        return query(queryClass, 4_000_000, false, false, shards);
     }
 
     /** Sends a marked retry whose client waits for this much longer. */
     String retry(long timeLeft, int... shards) {
-        return query(0, timeLeft, true, shards);
+        return query(0, timeLeft, true, true, shards);
     }
 
-    private String query(int queryClass, long timeLeft, boolean isRetry, int... shards) {
+    private String query(int queryClass, long timeLeft, boolean isRetry, boolean withKey, int... shards) {
         String id = "q" + queries;
         policy.onQueryArrived(now, new QueryArrived(id, queries, queryClass, 0, null, now + timeLeft, Absent.VALUE,
-                shards.length, isRetry));
+                shards.length, isRetry, withKey));
         for (int shard : shards) {
             policy.onPartArrived(now, new PartArrived(id + "/" + shard, queries, shard, 1.0 / shards.length,
                     Absent.VALUE));
--- a/src/test/java/wallmoor/decision/RetryPolicyTest.java
+++ b/src/test/java/wallmoor/decision/RetryPolicyTest.java
@@ -78,6 +78,22 @@
         assertEquals(1, harness.actions("startAttempt").size());
     }
 
+    /** Guards against a second execution that no store can recognise: a query without a key in a class with keys. */
+    @Test
+    void doesNotRetryPartWithoutKeyThatMayHaveRun() {
+        var site = new PolicyHarness.SiteSettings()
+                .withOnlyClass(PolicyHarness.SiteSettings.allParts(Idempotency.WITH_KEY));
+        var harness = new PolicyHarness(site).workers(12);
+        String queryId = harness.queryWithoutKey(0, 0);
+        harness.now += 500 * MS;
+        harness.endAttempt(queryId + "/0", 0, harness.workerOf(0), AttemptEndReason.NOT_STARTED, 500 * MS);
+        assertEquals(2, harness.actions("startAttempt").size(), "an attempt that never ran is replaced");
+        harness.now += 100 * MS;
+        harness.endAttempt(queryId + "/0", 1, harness.workerOf(1), AttemptEndReason.ERROR, 100 * MS);
+        assertEquals(2, harness.actions("startAttempt").size());
+        assertEquals(List.of("fail " + queryId), harness.actions("fail"));
+    }
+
     /**
      * A retry may wait for a connection, so it gets a maximum start delay, counted from the send of the first attempt.
      */
--- a/src/test/java/wallmoor/frames/ConnectionPoolFixture.java
+++ b/src/test/java/wallmoor/frames/ConnectionPoolFixture.java
@@ -8,7 +8,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -21,6 +23,7 @@
 import wallmoor.config.SettingsReader;
 import wallmoor.core.Gatherer;
 import wallmoor.core.Query;
+import wallmoor.core.QueryRequest;
 import wallmoor.core.Step;
 import wallmoor.core.WorkerEndpoint;
 import wallmoor.decision.RoutingSettings;
@@ -34,6 +37,8 @@
     static final int FREE = 0;
     static final int GUARDED = 1;
     static final int SINGLE_SHOT = 2;
+    /** The idempotency key of the queries of the class {@link #GUARDED}. */
+    static final String KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
     static final long DEDUP_MICROS = 600_000;
     static final long GIVE_UP_MICROS = 2_000_000;
     static final long CONNECT_MICROS = 250_000;
@@ -51,6 +56,8 @@
     final LinkedBlockingQueue<GatedSocket> createdSockets = new LinkedBlockingQueue<>();
     final ExecutorService executor = Executors.newCachedThreadPool();
     private final List<AutoCloseable> opened = new ArrayList<>();
+    /** The ids of the queries that were opened with {@link #KEY}. */
+    private final Set<String> guardedIds = new HashSet<>();
     /** The socket of the next connection, or null for a new one with all gates open. */
     private GatedSocket nextSocket;
     Gatherer gatherer;
@@ -123,8 +130,13 @@
     }
 
     Query open(String id, int queryClass) {
-        Query query = gatherer.open(id, queryClass, clock.get() + GIVE_UP_MICROS, false,
-                List.of(new Query.PartRequest(0, 1, -1)), "c41e77d0".getBytes(StandardCharsets.ISO_8859_1));
+        String key = null;
+        if (queryClass == GUARDED) {
+            key = KEY;
+            guardedIds.add(id);
+        }
+        Query query = gatherer.open(new QueryRequest(id, queryClass, clock.get() + GIVE_UP_MICROS, false, key,
+                List.of(new Query.PartRequest(0, 1, -1)), "c41e77d0".getBytes(StandardCharsets.ISO_8859_1)));
         assertTrue("query " + id + " accepted", query != null);
         return query;
     }
@@ -172,8 +184,10 @@
         }
     }
 
-    static void assertCall(String part, String frame) {
-        assertTrue(frame, frame.matches("(?s)Q" + part.replace(".", "\\.") + " 0 d=\\d+ 8\nc41e77d0"));
+    /** Asserts that a frame is the call of a part; one of a query with an idempotency key must carry it. */
+    void assertCall(String part, String frame) {
+        String key = guardedIds.contains(part.substring(0, part.lastIndexOf('.'))) ? ",k=" + KEY : "";
+        assertTrue(frame, frame.matches("(?s)Q" + part.replace(".", "\\.") + " 0 d=\\d+" + key + " 8\nc41e77d0"));
     }
 
     /** Asserts that the next frame is the call of this part, answers it, and asserts that this completes the query. */
--- a/src/test/java/wallmoor/frames/WorkerConnectionRaceTest.java
+++ b/src/test/java/wallmoor/frames/WorkerConnectionRaceTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.Test;
 import wallmoor.core.Query;
+import wallmoor.core.QueryRequest;
 import wallmoor.core.Step;
 import wallmoor.core.WorkerEndpoint;
 
@@ -57,9 +58,9 @@
         assertEquals("Xq.0", peer.frame());
         var again = new java.util.concurrent.atomic.AtomicReference<Query>();
         await("the end of the first query", () -> {
-            again.set(gatherer.open("q", SINGLE_SHOT, clock.get() + GIVE_UP_MICROS, false,
+            again.set(gatherer.open(new QueryRequest("q", SINGLE_SHOT, clock.get() + GIVE_UP_MICROS, false, null,
                     List.of(new Query.PartRequest(0, 1, -1)),
-                    "c41e77d0".getBytes(UTF_8)));
+                    "c41e77d0".getBytes(UTF_8))));
             return again.get() != null;
         });
         Query second = again.get();
--- a/src/test/java/wallmoor/net/EdgeFixture.java
+++ b/src/test/java/wallmoor/net/EdgeFixture.java
@@ -15,6 +15,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.function.Function;
+import java.util.function.UnaryOperator;
 import org.junit.After;
 import org.junit.Rule;
 import org.junit.rules.TemporaryFolder;
@@ -28,6 +29,8 @@
     final List<AutoCloseable> open = new ArrayList<>();
     final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(5)).build();
+    /** Applied to the configuration of the program. */
+    UnaryOperator<String> configChange = UnaryOperator.identity();
     Program program;
     StandIn.Worker worker;
     Path devices;
@@ -58,7 +61,7 @@
                 + "}\n  coap: {listen: 127.0.0.1:" + coapPort
                 + "}\n  skew: 50ms\n  asks_per_s: 1000\n  ask_burst: 5000\n"
                 + "  grace: 500ms\n" + moreOptions);
-        program = new Program(discovery.port(), worker.member("a", 0, "SERVING"), operator);
+        program = new Program(discovery.port(), worker.member("a", 0, "SERVING"), operator, 1024, configChange);
         open.add(program);
         Thread.sleep(150); // the edge refuses ids dated before its start, and clock skew may make the first ids look so
     }
--- a/src/test/java/wallmoor/net/EdgeTest.java
+++ b/src/test/java/wallmoor/net/EdgeTest.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.Assert.assertArrayEquals;
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertNotEquals;
 import static org.junit.Assert.assertTrue;
 
@@ -16,9 +17,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.concurrent.TimeUnit;
 import java.util.zip.GZIPOutputStream;
 import org.junit.Test;
+import wallmoor.edge.EdgeRequest;
 import wallmoor.standin.LinkProxy;
 import wallmoor.standin.LinkProxy.Fate;
 
@@ -55,6 +58,27 @@
         assertEquals(2, parts(""));
     }
 
+    /** Guards against a payment that is applied twice when a device repeats its request at another gatherer. */
+    @Test
+    public void sendsTheSameIdempotencyKeyForDeviceAndIdAtEachGatherer() throws Exception {
+        configChange = Program::withKeyedClass;
+        start(id -> "ok");
+        String id = id();
+        assertEquals(200, put(id, body("once", "q", 0)).statusCode());
+        assertEquals(200, put(id(), body("all", "q", 0)).statusCode());
+        var d2 = request(httpPort, "d2", id).PUT(HttpRequest.BodyPublishers.ofString(body("once", "q", 0))).build();
+        assertEquals(200, http.send(d2, BodyHandlers.ofString()).statusCode());
+        var frames = worker.seen.stream().filter(frame -> frame.startsWith("Q")).toList();
+        // the key must depend on nothing that differs between gatherers
+        assertTrue(frames.toString(), frames.get(0).contains(",k=" + workerKey("d1", id) + " "));
+        assertFalse("a class without keys", frames.get(1).contains(",k="));
+        assertTrue(frames.toString(), frames.get(2).contains(",k=" + workerKey("d2", id) + " "));
+    }
+
+    private static String workerKey(String device, String id) {
+        return HexFormat.of().formatHex(EdgeRequest.sha256((device + "/" + id).getBytes(UTF_8)), 0, 16);
+    }
+
     @Test
     public void separatesQueriesOfDevicesAndRefusesRevokedDevices() throws Exception {
         start(id -> "ok");
--- a/src/test/java/wallmoor/net/Program.java
+++ b/src/test/java/wallmoor/net/Program.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import wallmoor.standin.Ports;
 
 /** The real program as a process, with the configuration that a test supplies. */
@@ -56,10 +57,16 @@
 
     /** Starts the program with a discovery mode, which is the value of {@code Discovery} in the settings. */
     Program(int discovery, String members, Path operator, int sockets, String discoveryMode) throws Exception {
+        this(discovery, members, operator, sockets, config -> config
+                .replace("\"Discovery\":\"subscribe\"", "\"Discovery\":\"" + discoveryMode + "\""));
+    }
+
+    /** Starts the program with a configuration that {@code change} makes of the usual one. */
+    Program(int discovery, String members, Path operator, int sockets, UnaryOperator<String> change)
+            throws Exception {
         port = Ports.free();
         this.sockets = sockets;
-        Files.writeString(file, config("t", SEED, port, discovery, members, sockets)
-                .replace("\"Discovery\":\"subscribe\"", "\"Discovery\":\"" + discoveryMode + "\""));
+        Files.writeString(file, change.apply(config("t", SEED, port, discovery, members, sockets)));
         process = launch(file, operator);
         read(process, log);
         await("ready", () -> {
@@ -92,6 +99,11 @@
                 + SETTINGS + "}";
     }
 
+    /** Returns the configuration with class {@code once} changed to one whose queries carry idempotency keys. */
+    static String withKeyedClass(String config) {
+        return config.replace("\"Repeat\":\"single_shot\"", "\"Repeat\":\"guarded\",\"DedupWindow\":4000000");
+    }
+
     /** Returns the configuration with an operators' address on this port added. */
     static String withAdmin(String config, int admin) {
         return "{\"admin_addr\":\"127.0.0.1:" + admin + "\"," + config.substring(1);
--- a/src/test/java/wallmoor/net/WatchFixture.java
+++ b/src/test/java/wallmoor/net/WatchFixture.java
@@ -19,6 +19,7 @@
 import wallmoor.core.Gatherer;
 import wallmoor.core.MonotonicClock;
 import wallmoor.core.Query;
+import wallmoor.core.QueryRequest;
 import wallmoor.core.Step;
 import wallmoor.core.Worker;
 import wallmoor.discovery.DiscoveryWatch;
@@ -137,8 +138,9 @@
 
     /** Returns the worker that a part of this shard is assigned to now, or null for none. */
     Worker assignedWorker(int shard) throws InterruptedException {
-        Query query = gatherer.open("q" + queries.incrementAndGet(), 1, gatherer.now() + 300_000, false,
-                List.of(new Query.PartRequest(shard, 1, -1)), null);
+        Query query = gatherer
+                .open(new QueryRequest("q" + queries.incrementAndGet(), 1, gatherer.now() + 300_000, false,
+                        null, List.of(new Query.PartRequest(shard, 1, -1)), null));
         Step step = gatherer.awaitStep(query);
         gatherer.clientDisconnected(query);
         return step instanceof Step.Send send ? send.worker() : null;
--- a/src/test/java/wallmoor/ogc/FetchPermissionTest.java
+++ b/src/test/java/wallmoor/ogc/FetchPermissionTest.java
@@ -25,6 +25,7 @@
 import wallmoor.config.SettingsReader;
 import wallmoor.core.Gatherer;
 import wallmoor.core.Query;
+import wallmoor.core.QueryRequest;
 import wallmoor.core.Step;
 import wallmoor.core.WorkerEndpoint;
 
@@ -66,8 +67,9 @@
         gatherer = new Gatherer(new SettingsReader(pairs).settings(), 7, clock::get, NOPLogger.NOP_LOGGER);
         gatherer.control().start(List.of(endpoint(server.getLocalPort(), WorkerEndpoint.EndpointState.SERVING)));
         var collection = new OgcConfig.Collection("c", "c", "c", "c-{shard}", 0, List.of(0), List.of());
-        query = gatherer.open("q", 0, clock.get() + 2_000_000, false, List.of(new Query.PartRequest(0, 1, -1)),
-                new FeatureQuery(collection, "", null, 10, Map.of(0, 0), true));
+        query = gatherer.open(
+                new QueryRequest("q", 0, clock.get() + 2_000_000, false, null, List.of(new Query.PartRequest(0, 1, -1)),
+                        new FeatureQuery(collection, "", null, 10, Map.of(0, 0), true)));
         send = (Step.Send) gatherer.awaitStep(query);
     }
 
