Answer requests that were taken before SIGTERM before the process ends

Cause: the process ends 3.55 s after SIGTERM. PlatformFront limited the deadlines of queries opened after SIGTERM to that time (shutdownAt), but open ones kept theirs, and Server.finish returned when its time was up, whatever was being handled.

Evidence: the log has "shut down with unanswered queries: count=3" 3.55 s after "told to leave" on an idle core; the three are those at the silent node.

Fix: the limit belongs to the gatherer. GathererControl.limitDeadlines holds for open queries and, under the same lock, for all opened later; the policy ends them as at their deadline, with a partial answer where the class allows one, and the waiting thread does so if the policy fails. Server.finish also waits for requests being handled until their answers are written. Related paths: the front for features took 4.4 s, more than SIGKILL allows, and limited nothing; the edge limited later queries only; CoAP stopped without waiting for answers that it owed. The times of a shutdown moved to ShutdownSchedule, unchanged.

--- a/src/main/java/wallmoor/core/Gatherer.java
+++ b/src/main/java/wallmoor/core/Gatherer.java
@@ -101,7 +101,7 @@
             if (requests.isInUse(request.id(), request.parts())) {
                 return null;
             }
-            var query = new Query(request, requests.className(request.queryClass()), lock.newCondition());
+            Query query = requests.create(request, lock.newCondition());
             long number = requests.add(query);
             driver.run(() -> reportArrival(request, query, number));
             return query;
@@ -114,7 +114,7 @@
         RoutingPolicy policy = driver.policy();
         List<Query.PartRequest> parts = request.parts();
         policy.onQueryArrived(driver.now(), new QueryArrived(request.id(), number, request.queryClass(), 0, null,
-                query.deadline, Absent.VALUE, parts.size(), request.retry(), request.idempotencyKey() != null));
+                query.deadline(), Absent.VALUE, parts.size(), request.retry(), request.idempotencyKey() != null));
         for (int i = 0; i < parts.size(); i++) {
             Query.PartRequest part = parts.get(i);
             policy.onPartArrived(driver.now(), new PartArrived(query.parts.get(i).id, number, part.shard(),
@@ -145,7 +145,7 @@
     /** Waits until the query may have a step; fails the query if the policy has not ended it by its deadline. */
     @SuppressWarnings("WaitNotInLoop") // the caller checks the condition again in a loop
     private void awaitChange(Query query) throws InterruptedException {
-        long remaining = query.deadline + OVERDUE_MICROS - now();
+        long remaining = query.deadline() + OVERDUE_MICROS - now();
         if (remaining > 0) {
             query.stepAvailable.await(remaining, TimeUnit.MICROSECONDS);
             return;
--- a/src/main/java/wallmoor/core/GathererControl.java
+++ b/src/main/java/wallmoor/core/GathererControl.java
@@ -171,6 +171,24 @@
         }
     }
 
+    // ---- shutdown -----------------------------------------------------------------------------------------
+
+    /**
+     * Gives each query its final step by this time at the latest, whether it is open or is opened later, because the
+     * process ends afterwards.
+     *
+     * @param latest microseconds on the gatherer's clock
+     */
+    public void limitDeadlines(long latest) {
+        lock.lock();
+        try {
+            requests.limitDeadlines(latest);
+            driver.run(() -> driver.policy().onDeadlinesLimited(driver.now(), latest));
+        } finally {
+            lock.unlock();
+        }
+    }
+
     // ---- settings -----------------------------------------------------------------------------------------
 
     /**
--- a/src/main/java/wallmoor/core/OpenRequests.java
+++ b/src/main/java/wallmoor/core/OpenRequests.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.locks.Condition;
 import wallmoor.metrics.GathererMetrics;
 
 /**
@@ -19,6 +20,8 @@
     /** The names of the query classes, by index. */
     private List<String> classNames;
     private long lastNumber;
+    /** The time by which each query has its final step, microseconds on the gatherer's clock. */
+    private long latestDeadline = Long.MAX_VALUE;
 
     OpenRequests(GathererMetrics metrics, List<String> classNames) {
         this.metrics = metrics;
@@ -30,11 +33,21 @@
         classNames = names;
     }
 
-    /** Returns the name of a query class in the metrics. */
-    String className(int queryClass) {
+    private String className(int queryClass) {
         return queryClass >= 0 && queryClass < classNames.size() ? classNames.get(queryClass) : "class-" + queryClass;
     }
 
+    /** Creates a query, which is not in the tables yet, with a condition for its thread to wait on. */
+    Query create(QueryRequest request, Condition stepAvailable) {
+        return new Query(request, className(request.queryClass()), latestDeadline, stepAvailable);
+    }
+
+    /** Limits the deadlines of the open queries and of all that are opened later; a limit is never raised. */
+    void limitDeadlines(long latest) {
+        latestDeadline = Math.min(latestDeadline, latest);
+        openQueries.values().forEach(query -> query.limitDeadline(latestDeadline));
+    }
+
     /** Returns the id of the part of a query for this shard, which is the same for all attempts of the part. */
     static String partId(String queryId, int shard) {
         return queryId + "." + shard;
--- a/src/main/java/wallmoor/core/PolicyActions.java
+++ b/src/main/java/wallmoor/core/PolicyActions.java
@@ -43,7 +43,7 @@
         Query.QueryPart part = query.part(partId);
         Worker worker = workers.get(workerId);
         long now = round.now();
-        long deadline = Math.min(query.deadline, now + giveUpAfter);
+        long deadline = Math.min(query.deadline(), now + giveUpAfter);
         long startBefore = startWithin < deadline - now ? now + startWithin : deadline;
         var attempt = new Attempt(query, part, part.attempts++, worker, now, deadline, startBefore);
         query.inFlight.add(attempt);
@@ -107,7 +107,7 @@
 
     /** Returns whether a query ended for lack of an answer in time, rather than because of failed attempts. */
     private boolean timedOut(Query query) {
-        return query.cancelledUnanswered || round.now() >= query.deadline - NEAR_DEADLINE_MICROS;
+        return query.cancelledUnanswered || round.now() >= query.deadline() - NEAR_DEADLINE_MICROS;
     }
 
     @Override
--- a/src/main/java/wallmoor/core/Query.java
+++ b/src/main/java/wallmoor/core/Query.java
@@ -38,8 +38,11 @@
     final String id;
     /** The name that the query's class had when it was opened; later changes of the settings do not apply. */
     final String className;
-    /** The time at which the client gives up, microseconds on the gatherer's clock. */
-    final long deadline;
+    /**
+     * The time by which the query has its final step: when the client gives up, or earlier if the gatherer ends before;
+     * microseconds on the gatherer's clock.
+     */
+    private long deadline;
     /** The key by which workers recognise a repeat of the query's parts; null for none. */
     private final String idempotencyKey;
     final Object attachment;
@@ -58,10 +61,15 @@
     /** True if an attempt has ended with an outcome that does not prove that it never ran. */
     boolean attemptMayHaveRun;
 
-    Query(QueryRequest request, String className, Condition stepAvailable) {
+    /**
+     * Creates a query without an attempt.
+     *
+     * @param latestDeadline the time by which every query has to have its final step
+     */
+    Query(QueryRequest request, String className, long latestDeadline, Condition stepAvailable) {
         this.id = request.id();
         this.className = className;
-        this.deadline = request.deadline();
+        this.deadline = Math.min(request.deadline(), latestDeadline);
         this.idempotencyKey = request.idempotencyKey();
         this.attachment = request.attachment();
         this.stepAvailable = stepAvailable;
@@ -75,11 +83,17 @@
         return id;
     }
 
-    /** Returns the time at which the client gives up, microseconds on the gatherer's clock. */
-    public long deadline() {
+    /** Returns the time by which the query has its final step, microseconds on the gatherer's clock. */
+    long deadline() {
         return deadline;
     }
 
+    /** Moves the deadline forward to this time, unless it is earlier, and wakes the query's thread to wait for it. */
+    void limitDeadline(long latest) {
+        deadline = Math.min(deadline, latest);
+        stepAvailable.signalAll();
+    }
+
     /** Returns the key that each attempt of a part carries to its worker, or null. */
     public String idempotencyKey() {
         return idempotencyKey;
--- a/src/main/java/wallmoor/decision/QueryCompletion.java
+++ b/src/main/java/wallmoor/decision/QueryCompletion.java
@@ -25,7 +25,7 @@
      * @return whether the query was ended
      */
     boolean endIfTimeIsUp(TrackedQuery query) {
-        long timeLeft = query.arrival.deadline() - context.now();
+        long timeLeft = query.deadline - context.now();
         if (timeLeft > 2L * TuningParameters.SWEEP_ROUNDS * context.settings().roundInterval()
                 && context.now() < query.usefulUntil()) {
             return false;
--- a/src/main/java/wallmoor/decision/RoutingPolicy.java
+++ b/src/main/java/wallmoor/decision/RoutingPolicy.java
@@ -246,6 +246,20 @@
         }
     }
 
+    /**
+     * Handles that the gatherer ends: open queries are answered as if their clients gave up by {@code latest}. Later
+     * queries arrive with such a deadline.
+     */
+    public void onDeadlinesLimited(long at, long latest) {
+        advance(at);
+        for (TrackedQuery query : requests.queries()) {
+            if (query.deadline > latest) {
+                query.deadline = latest;
+                queriesToDecide.add(query);
+            }
+        }
+    }
+
     // ---- decisions ----
 
     /**
--- a/src/main/java/wallmoor/decision/TrackedQuery.java
+++ b/src/main/java/wallmoor/decision/TrackedQuery.java
@@ -17,6 +17,8 @@
     /** The query's class as it was when the query arrived. */
     final QueryClass queryClass;
     final long arrivedAt;
+    /** When the client gives up, or earlier where this gatherer ends before. */
+    long deadline;
     /** When the client sent its first attempt, as far as known. */
     final long clientStartedAt;
     /** The factor on the class's priority weight: below 1 if the tenant is over its quota or the query arrived late. */
@@ -48,6 +50,7 @@
         this.classIndex = classIndex;
         this.queryClass = queryClass;
         this.arrivedAt = arrivedAt;
+        this.deadline = arrival.deadline();
         this.clientStartedAt = clientStartedAt;
         this.weightFactor = weightFactor;
         this.expectedParts = arrival.partCount();
@@ -93,12 +96,12 @@
         long workHint = Math.max(0, arrival.workHint());
         long objective = queryClass.latencyObjective() + (long) (queryClass.objectivePerWork() * workHint)
                 - (arrivedAt - clientStartedAt);
-        return Math.min(objective, arrival.deadline() - arrivedAt);
+        return Math.min(objective, deadline - arrivedAt);
     }
 
     /** Returns when an answer ceases to earn anything. */
     long usefulUntil() {
-        return queryClass.lateValueShare() > 0 ? arrival.deadline() : arrivedAt + latencyObjective();
+        return queryClass.lateValueShare() > 0 ? deadline : arrivedAt + latencyObjective();
     }
 
     /** Returns a hash of the class, tenant, key and shards, which are the same in a client's retry of the query. */
--- a/src/main/java/wallmoor/edge/EdgeQueries.java
+++ b/src/main/java/wallmoor/edge/EdgeQueries.java
@@ -51,7 +51,6 @@
     private final String queryIdPrefix;
     private final IdempotencyLimits limits;
     private long queryCount;
-    private volatile long lastAnswerAt = Long.MAX_VALUE;
 
     private static final class RunningQuery {
         final CompletableFuture<StoredOutcome> outcome = new CompletableFuture<>();
@@ -83,9 +82,9 @@
         Threads.start("edge-timers", this::runTimers);
     }
 
-    /** Limits the deadlines of queries that start from now on: the program ends in so many milliseconds. */
+    /** Limits the deadlines of all queries: the program ends in so many milliseconds. */
     public void shutDown(long millis) {
-        lastAnswerAt = clock.getAsLong() + millis * 1000;
+        gatherer.control().limitDeadlines(clock.getAsLong() + millis * 1000 - ANSWER_RESERVE_MICROS);
     }
 
     /**
@@ -159,10 +158,8 @@
         boolean clientGone = false;
         try {
             QueryClass queryClass = launch.get().settings().classes().get(edgeRequest.queryClass());
-            long deadline = Math.min(
-                    clock.getAsLong() + Math.min(edgeRequest.timeoutMillis() * 1000, queryClass.clientTimeout()),
-                    lastAnswerAt)
-                    - ANSWER_RESERVE_MICROS;
+            long deadline = clock.getAsLong()
+                    + Math.min(edgeRequest.timeoutMillis() * 1000, queryClass.clientTimeout()) - ANSWER_RESERVE_MICROS;
             String id;
             synchronized (requests) {
                 id = queryIdPrefix + Long.toString(++queryCount, 36);
--- a/src/main/java/wallmoor/edge/coap/EdgeCoap.java
+++ b/src/main/java/wallmoor/edge/coap/EdgeCoap.java
@@ -6,9 +6,10 @@
 import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.eclipse.californium.core.CoapResource;
 import org.eclipse.californium.core.CoapServer;
@@ -50,11 +51,17 @@
     /** 2 to the power of {@code BLOCK_SZX + 4}. */
     private static final int BLOCK_BYTES = 512;
     private static final int MAX_WAIT_SECONDS = 50;
+    /** The maximum time at the end to answer requests whose query has ended. */
+    private static final long MAX_ANSWER_MILLIS = 1_000;
+    /** The time that Californium's threads have to send the last responses. */
+    private static final long SEND_MILLIS = 20;
 
     private final Logger log = LoggerFactory.getLogger(EdgeCoap.class);
     private final Supplier<LaunchConfig> launch;
     private final EdgeQueries queries;
     private final Devices devices;
+    /** The number of requests that wait for an outcome. */
+    private final AtomicInteger waiting = new AtomicInteger();
     private final VerifiedAddresses verified = new VerifiedAddresses();
     private final CoapServer server;
     private final ObjectMapper json = new ObjectMapper();
@@ -89,9 +96,17 @@
         server.start();
     }
 
-    /** Serves for so many milliseconds, so that devices can fetch the remaining blocks of answers; then stops. */
+    /**
+     * Serves for so many milliseconds, so that devices can fetch the remaining blocks of answers; then stops. Requests
+     * that wait for an outcome then are answered before, as every query has ended by this time.
+     */
     public void shutDown(long millis) throws InterruptedException {
         Thread.sleep(millis);
+        long latestAnswer = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_ANSWER_MILLIS);
+        while (waiting.get() > 0 && System.nanoTime() < latestAnswer) {
+            Thread.sleep(SEND_MILLIS);
+        }
+        Thread.sleep(SEND_MILLIS);
         server.destroy();
         waitTimers.shutdownNow();
     }
@@ -283,28 +298,26 @@
         int waitSeconds = waitParameter != null && waitParameter.matches("[0-9]{1,4}")
                 ? Math.min(MAX_WAIT_SECONDS, Integer.parseInt(waitParameter))
                 : 0;
-        var answered = new AtomicBoolean();
+        waiting.incrementAndGet();
         exchange.accept(); // an empty acknowledgement: a separate response follows
-        CompletableFuture<StoredOutcome> outcomeFuture = queries.await(requestRecord);
-        var unusedStage = outcomeFuture.thenAccept(outcome -> {
+        var answered = new AtomicBoolean();
+        Consumer<Runnable> answerOnce = response -> {
             if (answered.compareAndSet(false, true)) {
                 queries.waiterLeft(requestRecord);
-                guarded(exchange, () -> {
-                    if (outcome == null) {
-                        respondRetryLater(exchange, ResponseCode.SERVICE_UNAVAILABLE, 1_000_000);
-                    } else {
-                        respondOutcome(exchange, outcome);
-                    }
-                });
+                guarded(exchange, response);
+                waiting.decrementAndGet();
             }
-        });
-        var unusedTimer = waitTimers.schedule(() -> {
-            if (answered.compareAndSet(false, true)) {
-                queries.waiterLeft(requestRecord);
-                guarded(exchange, () -> respondProblem(exchange, ResponseCode.CONTENT, "pending", 202, "no outcome yet",
-                        "\"outcome\":\"pending\""));
+        };
+        var unusedStage = queries.await(requestRecord).thenAccept(outcome -> answerOnce.accept(() -> {
+            if (outcome == null) {
+                respondRetryLater(exchange, ResponseCode.SERVICE_UNAVAILABLE, 1_000_000);
+            } else {
+                respondOutcome(exchange, outcome);
             }
-        }, waitSeconds, TimeUnit.SECONDS);
+        }));
+        var unusedTimer = waitTimers.schedule(() -> answerOnce.accept(() -> respondProblem(exchange,
+                ResponseCode.CONTENT, "pending", 202, "no outcome yet", "\"outcome\":\"pending\"")),
+                waitSeconds, TimeUnit.SECONDS);
     }
 
     private void respondOutcome(CoapExchange exchange, StoredOutcome outcome) {
--- a/src/main/java/wallmoor/http/Connection.java
+++ b/src/main/java/wallmoor/http/Connection.java
@@ -71,6 +71,13 @@
         return state;
     }
 
+    /** Returns whether a request has been read completely and its answer not yet written. */
+    boolean isHandling() {
+        synchronized (incoming) {
+            return currentExchange != null;
+        }
+    }
+
     long stateSince() {
         return stateSince;
     }
--- a/src/main/java/wallmoor/http/Server.java
+++ b/src/main/java/wallmoor/http/Server.java
@@ -126,15 +126,17 @@
     }
 
     /**
-     * Accepts only the connections that are already queued, closes idle connections gracefully, and waits until the
-     * requests being handled are answered.
+     * Accepts only the connections that are already queued, closes idle connections gracefully, and waits until all
+     * connections have ended. Requests that are still being handled when the time is up are waited for until their
+     * answers are written, because the process ends afterwards and would take them along.
      *
-     * @param millis the maximum time to wait
+     * @param millis the maximum time to wait for connections on which no request is being handled
      */
     public void finish(long millis) throws IOException, InterruptedException {
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        long latestAnswer = deadline + TimeUnit.MILLISECONDS.toNanos(MAX_WRITE_MILLIS);
         acceptor.stop();
-        while ((accepting || !connections.isEmpty()) && System.nanoTime() < deadline) {
+        while ((accepting || !connections.isEmpty()) && System.nanoTime() < (isHandling() ? latestAnswer : deadline)) {
             connections.forEach(c -> c.halfCloseIdle(0));
             connections.forEach(c -> c.halfCloseIf(ConnectionState.NEW, timeouts.evictSilent()));
             connections.forEach(c -> c.closeIf(ConnectionState.CLOSING, Connection.LINGER_MILLIS));
@@ -142,6 +144,10 @@
         }
     }
 
+    private boolean isHandling() {
+        return connections.stream().anyMatch(Connection::isHandling);
+    }
+
     private void accept(ConnectionSelector selector) {
         while (accepting) {
             Connection connection = null;
--- a/src/main/java/wallmoor/ogc/FeatureQueryRunner.java
+++ b/src/main/java/wallmoor/ogc/FeatureQueryRunner.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import wallmoor.config.OgcConfig.Collection;
 import wallmoor.core.Gatherer;
@@ -33,6 +34,12 @@
         this.transport = transport;
     }
 
+    /** Limits the deadlines of all queries: the program ends in so many milliseconds. */
+    void shutDown(long millis) {
+        gatherer.control().limitDeadlines(
+                clock.getAsLong() + TimeUnit.MILLISECONDS.toMicros(millis) - RESPONSE_RESERVE_MICROS);
+    }
+
     /** Returns the id for a new query. */
     String nextId() {
         return "ogc-" + startedQueries.incrementAndGet();
--- a/src/main/java/wallmoor/ogc/FeaturesFront.java
+++ b/src/main/java/wallmoor/ogc/FeaturesFront.java
@@ -36,6 +36,7 @@
 
     private final Gatherer gatherer;
     private final EndpointUpdater endpointUpdater;
+    private final FeatureQueryRunner queries;
     private final Server server;
     /** The leases on feature servers' summaries; null if all servers are always queried. */
     private final SummaryLeases summaryLeases;
@@ -63,7 +64,7 @@
                 : new FeatureServerDirectory(config, inventory, summaryLeases);
         endpointUpdater = new EndpointUpdater(RegistryPolicy.of(List.of(policy)), clock, gatherer,
                 List.of(directory == null ? inventory : directory));
-        var queries = new FeatureQueryRunner(settings, clock, gatherer, transport);
+        queries = new FeatureQueryRunner(settings, clock, gatherer, transport);
         var router = new ResourceRouter(config, new ItemsHandler(queries, directory), new FeatureHandler(queries));
         int clientSockets = launch.sockets() / CLIENT_SOCKETS_DIVISOR;
         server = new Server("ogc", config.listen(), clientSockets, clientSockets, router::handle, LOG::info);
@@ -93,6 +94,7 @@
      * @param finishMillis   how long accepted requests may take after that, in milliseconds
      */
     public void shutDown(long handOverMillis, long finishMillis) throws IOException, InterruptedException {
+        queries.shutDown(handOverMillis + finishMillis);
         server.closeAfterAnswers();
         Thread.sleep(handOverMillis);
         server.finish(finishMillis);
--- a/src/main/java/wallmoor/platform/PlatformFront.java
+++ b/src/main/java/wallmoor/platform/PlatformFront.java
@@ -42,8 +42,6 @@
     private final Logger log;
     private final Server server;
     private volatile boolean ready;
-    /** The time at which the process ends, on the clock: a later answer would never be sent. */
-    private volatile long shutdownAt = Long.MAX_VALUE;
 
     /**
      * Creates the front and binds its listening socket; requests are served only after {@link #start}.
@@ -104,14 +102,15 @@
     }
 
     /**
-     * Shuts down gracefully: accepts queries during the hand-over, and waits until all are answered. A query accepted
-     * from now on is answered before the end, even if its client would wait longer.
+     * Shuts down gracefully: accepts queries during the hand-over, and waits until all are answered. Every query is
+     * answered before the end, even if its client would wait longer.
      *
      * @param handOverMillis the time during which queries are still accepted
      * @param finishMillis   the maximum time to wait for the answers after that
      */
     public void shutDown(long handOverMillis, long finishMillis) throws IOException, InterruptedException {
-        shutdownAt = clock.getAsLong() + TimeUnit.MILLISECONDS.toMicros(handOverMillis + finishMillis);
+        gatherer.control().limitDeadlines(clock.getAsLong()
+                + TimeUnit.MILLISECONDS.toMicros(handOverMillis + finishMillis) - TRANSFER_MARGIN_MICROS);
         // another process accepts new connections, and each answered client reconnects to it
         if (launch.isSocketInherited()) {
             server.stopAccepting();
@@ -179,8 +178,7 @@
         var classInForce = configuration.settings().classes().get(queryClass);
         long timeout = Math.min(QueryHeaders.timeoutMicros(request.header("X-Deadline")),
                 classInForce.clientTimeout());
-        long deadline = Math.min(clock.fromNanoTime(request.firstByteAt()) + timeout, shutdownAt)
-                - TRANSFER_MARGIN_MICROS;
+        long deadline = clock.fromNanoTime(request.firstByteAt()) + timeout - TRANSFER_MARGIN_MICROS;
         boolean retry = "1".equals(request.header("X-Retry"));
         String idempotencyKey = classInForce.usesIdempotencyKey()
                 ? QueryHeaders.idempotencyKey(request.header("Idempotency-Key"))
--- a/src/main/java/wallmoor/service/Service.java
+++ b/src/main/java/wallmoor/service/Service.java
@@ -2,7 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.List;
+import java.util.ArrayList;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -12,7 +12,6 @@
 import wallmoor.config.LaunchConfig;
 import wallmoor.config.OperatorConfig;
 import wallmoor.core.MonotonicClock;
-import wallmoor.decision.QueryClass;
 import wallmoor.decision.RoutingSettings;
 import wallmoor.http.ConnectionAcceptor;
 import wallmoor.json.Json;
@@ -28,13 +27,6 @@
 
 /** A gatherer with all components that its configuration enables; can be started, reloaded and shut down. */
 public final class Service {
-    /** SIGKILL follows SIGTERM after this time plus the longest client timeout, of which at most 3 s count. */
-    private static final long HAND_OVER_MILLIS = 700;
-    private static final long MAX_CLIENT_TIMEOUT_MILLIS = 3_000;
-    /** Reserved for the exit of the program itself. */
-    private static final long EXIT_RESERVE_MILLIS = 150;
-    /** The minimum time reserved to answer the queries that arrive last. */
-    private static final long MIN_FINISH_MILLIS = 200;
     /**
      * The maximum wait for the sources and the quota. A process that takes over has 6 s to become ready; its start
      * takes up to 1 s, and the rest is a reserve for a slow core.
@@ -256,7 +248,8 @@
     /**
      * Shuts down gracefully (SIGTERM): reports not ready, and returns once all queries are answered. Clients continue
      * to use their connections, and the gatherer that takes over may not have started yet. Queries are therefore
-     * accepted for as long as the last of them can still be answered before SIGKILL.
+     * accepted for as long as the last of them can still be answered before SIGKILL. Every front answers all queries
+     * before then, also those that were open at SIGTERM and whose clients would wait longer.
      */
     public void shutDown() {
         shuttingDown = true;
@@ -265,29 +258,20 @@
         if (group != null) {
             group.leave();
         }
-        List<QueryClass> classes = effectiveSettings.launch().activeClasses();
-        long clientTimeoutMillis = classes.stream().mapToLong(QueryClass::clientTimeout).max().orElse(0) / 1000;
-        long latencyObjectiveMillis = classes.stream().mapToLong(QueryClass::latencyObjective).max().orElse(0) / 1000;
-        long totalMillis = Math.min(MAX_CLIENT_TIMEOUT_MILLIS, clientTimeoutMillis) + HAND_OVER_MILLIS
-                - EXIT_RESERVE_MILLIS;
-        long handOverMillis = Math.max(HAND_OVER_MILLIS,
-                totalMillis - Math.max(MIN_FINISH_MILLIS, latencyObjectiveMillis / 2));
-        var featuresThread = new Thread(() -> {
-            if (features != null) {
-                shutDown(features::shutDown, HAND_OVER_MILLIS, MAX_CLIENT_TIMEOUT_MILLIS + HAND_OVER_MILLIS);
-            }
-        }, "leave-ogc");
-        featuresThread.start();
-        var edgeThread = new Thread(() -> {
-            if (edge != null) {
-                shutDown(edge::shutDown, handOverMillis, totalMillis - handOverMillis);
-            }
-        }, "leave-edge");
-        edgeThread.start();
-        shutDown(platform::shutDown, handOverMillis, totalMillis - handOverMillis);
+        var schedule = ShutdownSchedule.of(effectiveSettings.launch().activeClasses());
+        var otherFronts = new ArrayList<Thread>();
+        if (features != null) { // its clients are asked to disconnect from the beginning
+            otherFronts.add(new Thread(() -> shutDown(features::shutDown, schedule.withMinHandOver()), "leave-ogc"));
+        }
+        if (edge != null) {
+            otherFronts.add(new Thread(() -> shutDown(edge::shutDown, schedule), "leave-edge"));
+        }
+        otherFronts.forEach(Thread::start);
+        shutDown(platform::shutDown, schedule);
         try {
-            featuresThread.join(MAX_CLIENT_TIMEOUT_MILLIS + 2 * HAND_OVER_MILLIS);
-            edgeThread.join(MAX_CLIENT_TIMEOUT_MILLIS + 2 * HAND_OVER_MILLIS);
+            for (Thread front : otherFronts) {
+                front.join(); // a front's shutdown is bounded in time
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -308,9 +292,9 @@
         void shutDown(long handOverMillis, long finishMillis) throws IOException, InterruptedException;
     }
 
-    private void shutDown(FrontShutdown front, long handOverMillis, long finishMillis) {
+    private void shutDown(FrontShutdown front, ShutdownSchedule schedule) {
         try {
-            front.shutDown(handOverMillis, finishMillis);
+            front.shutDown(schedule.handOverMillis(), schedule.finishMillis());
         } catch (IOException | InterruptedException e) {
             log.warn("graceful shutdown of a front failed, its open queries may be unanswered: error={}", e.toString());
         }
--- a/src/test/java/wallmoor/core/GathererTest.java
+++ b/src/test/java/wallmoor/core/GathererTest.java
@@ -152,6 +152,38 @@
         assertTrue(log.toString(), log.stream().noneMatch(l -> l.contains("routing policy failed")));
     }
 
+    /** Guards against queries, open at SIGTERM or opened later, that would end after the process. */
+    @Test
+    public void endsEachQueryByTheLimitOfDeadlines() throws Exception {
+        Query open = open("open", 1);
+        var send = (Step.Send) awaitStep(open);
+        Future<Step> next = threads.submit(() -> gatherer.awaitStep(open));
+        gatherer.control().limitDeadlines(clock.get() + 500_000);
+        gatherer.control().limitDeadlines(clock.get() + 900_000); // a limit is never raised
+        Query later = open("later", 1);
+        awaitStep(later);
+        advanceMillis(400);
+        assertFalse("there is still time", next.isDone());
+        advanceMillis(100);
+        assertEquals(send.attempts().get(0), ((Step.Cancel) next.get(10, TimeUnit.SECONDS)).attempt());
+        assertTrue(awaitStep(open) instanceof Step.Fail f && f.timedOut());
+        assertTrue(awaitStep(later) instanceof Step.Cancel);
+        assertTrue(awaitStep(later) instanceof Step.Fail f && f.timedOut());
+        assertEquals(0, gatherer.openQueries());
+    }
+
+    /** The thread of a query is woken to wait for the earlier deadline, even if the policy fails. */
+    @Test
+    public void failsQueryAtTheLimitOfDeadlinesIfThePolicyFails() throws Exception {
+        Query open = open("open", 1);
+        awaitStep(open);
+        Future<Step> next = threads.submit(() -> gatherer.awaitStep(open));
+        Thread.sleep(100); // the thread waits for its deadline 2 s from now
+        clock.addAndGet(400_000); // without a tick: the policy does not decide
+        gatherer.control().limitDeadlines(clock.get() - 100_000);
+        assertTrue(next.get(1, TimeUnit.SECONDS) instanceof Step.Cancel);
+    }
+
     /** The client disconnects between decision and hand-over; the test above covers the other order. */
     @Test
     public void sendsNothingIfClientDisconnectsBeforeHandOver() throws Exception {
--- a/src/test/java/wallmoor/decision/QueryCompletionTest.java
+++ b/src/test/java/wallmoor/decision/QueryCompletionTest.java
@@ -84,6 +84,26 @@
         assertTrue(Long.parseLong(harness.actions("reject").get(0).split(" ")[2]) > 0);
     }
 
+    /** Guards against open queries that outlive their gatherer: they end by its last moment, as at their deadline. */
+    @Test
+    void endsOpenQueriesByTheLimitOfTheirDeadlines() {
+        var site = new PolicyHarness.SiteSettings();
+        site.classes = List.of(PolicyHarness.SiteSettings.allParts(Idempotency.NOT_IDEMPOTENT),
+                PolicyHarness.SiteSettings.someParts(1, 0.5));
+        var harness = new PolicyHarness(site).workers(12).warmUp(12);
+        String silent = harness.query(0, 0);
+        String half = harness.query(1, 2, 4);
+        harness.endAttempt(half + "/2", 0, harness.workerOf(2), AttemptEndReason.OK, 2 * MS);
+        long latest = harness.now + 300 * MS;
+        harness.policy.onDeadlinesLimited(harness.now, latest);
+        harness.policy.onRoundEnd(harness.now);
+        harness.advance(200 * MS);
+        assertEquals(List.of(), harness.actions("fail"), "there is still time");
+        harness.advance(latest - harness.now);
+        assertEquals(List.of("fail " + silent), harness.actions("fail"));
+        assertTrue(harness.actions("answer").contains("answer " + half + " false"), "with the parts that are in");
+    }
+
     @Test
     void omitsRetryAfterWhereThePlatformForbidsIt() {
         var site = new PolicyHarness.SiteSettings();
--- a/src/test/java/wallmoor/http/ServerCrossingsTest.java
+++ b/src/test/java/wallmoor/http/ServerCrossingsTest.java
@@ -1,6 +1,7 @@
 package wallmoor.http;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
@@ -186,6 +187,23 @@
         assertEquals("no request is started after the shutdown", 0, startedTargets.size());
     }
 
+    /** Guards against an answer that is lost because the process ends while its request is still being handled. */
+    @Test
+    public void finishWaitsForRequestsBeingHandledBeyondItsTime() throws Exception {
+        start(8);
+        Socket client = client();
+        send(client, get("/held"));
+        assertEquals("/held", take(startedTargets));
+        var finishing = new Thread(() -> finish(100));
+        finishing.start();
+        finishing.join(400);
+        assertTrue("a request is being handled", finishing.isAlive());
+        released.countDown();
+        finishing.join(TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+        assertFalse("all requests are answered", finishing.isAlive());
+        assertEquals("HTTP/1.1 200 OK", status(client));
+    }
+
     private void finish(long millis) {
         try {
             server.finish(millis);
--- a/src/test/java/wallmoor/net/EdgeCoapTest.java
+++ b/src/test/java/wallmoor/net/EdgeCoapTest.java
@@ -132,6 +132,31 @@
         assertEquals(1, parts(""));
     }
 
+    /** Guards against a device that gets no answer because the process ends before its query, as in review case 3. */
+    @Test
+    public void answersWaitingGetBeforeTheShutdownEnds() throws Exception {
+        configChange = EdgeFixture::withLongTimeouts;
+        start(id -> null);
+        String id = id();
+        byte[] json = bodyWithLongTimeout("once", 0).getBytes(UTF_8);
+        CoapClient client = coap(coapPort, id, "&wait=10");
+        assertEquals(ResponseCode.CREATED, send(client, () -> put(json, MediaTypeRegistry.APPLICATION_JSON)).getCode());
+        Program.await("the part is sent", () -> parts("") == 1);
+        var outcome = CompletableFuture.supplyAsync(() -> {
+            try {
+                return send(client, Request::newGet);
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        Thread.sleep(100); // the request waits for the outcome
+        program.process.toHandle().destroy();
+        CoapResponse response = outcome.get(10, TimeUnit.SECONDS);
+        assertTrue("answered", response != null);
+        assertEquals(ResponseCode.BAD_GATEWAY, response.getCode());
+        assertTrue(program.process.waitFor(10, TimeUnit.SECONDS));
+    }
+
     @Test
     public void runsQueryOnceWhenSentOverCoapAndHttpAtTheSameTime() throws Exception {
         start(id -> {
--- a/src/test/java/wallmoor/net/EdgeFixture.java
+++ b/src/test/java/wallmoor/net/EdgeFixture.java
@@ -41,6 +41,16 @@
         start(answer, "");
     }
 
+    /** Returns the configuration with clients of all classes that wait for 4 s, longer than a shutdown takes. */
+    static String withLongTimeouts(String config) {
+        return config.replace("\"GiveUp\":2000000", "\"GiveUp\":4000000");
+    }
+
+    /** Returns the body of a query whose device waits for 4 s. */
+    static String bodyWithLongTimeout(String queryClass, int... shards) {
+        return body(queryClass, "q", shards).replace("\"deadline_ms\":1900", "\"deadline_ms\":4000");
+    }
+
     /**
      * Starts the worker, discovery and the program.
      *
