Count unanswered queries once all fronts have ended, and ask the configuration for a class

The platform's front logged "shut down with unanswered queries" when it had ended itself, although the edge, which shares its gatherer, may still answer queries then. LaunchConfig answers what the fronts ask of a class, so that platform and edge no longer reach into the decision's types.

--- a/src/main/java/wallmoor/config/LaunchConfig.java
+++ b/src/main/java/wallmoor/config/LaunchConfig.java
@@ -157,6 +157,16 @@
         return classIndexes().of(name);
     }
 
+    /** Returns after how many microseconds a client of this class gives up; {@code index} as of {@link #classIndex}. */
+    public long clientTimeout(int index) {
+        return settings.classes().get(index).clientTimeout();
+    }
+
+    /** Returns whether queries of this class carry an idempotency key; {@code index} as of {@link #classIndex}. */
+    public boolean usesIdempotencyKey(int index) {
+        return settings.classes().get(index).usesIdempotencyKey();
+    }
+
     private ClassIndexes classIndexes() {
         return new ClassIndexes(classes, settings.classes(), removedClasses);
     }
--- a/src/main/java/wallmoor/edge/EdgeQueries.java
+++ b/src/main/java/wallmoor/edge/EdgeQueries.java
@@ -18,7 +18,6 @@
 import wallmoor.core.QueryRequest;
 import wallmoor.core.Step;
 import wallmoor.core.WorkerTransport;
-import wallmoor.decision.QueryClass;
 import wallmoor.http.Threads;
 import wallmoor.idempotency.IdempotencyKey;
 import wallmoor.idempotency.IdempotencyLimits;
@@ -157,15 +156,17 @@
         StoredOutcome outcome = failed(true, "internal error");
         boolean clientGone = false;
         try {
-            QueryClass queryClass = launch.get().settings().classes().get(edgeRequest.queryClass());
+            LaunchConfig configuration = launch.get();
+            int queryClass = edgeRequest.queryClass();
             long deadline = clock.getAsLong()
-                    + Math.min(edgeRequest.timeoutMillis() * 1000, queryClass.clientTimeout()) - ANSWER_RESERVE_MICROS;
+                    + Math.min(edgeRequest.timeoutMillis() * 1000, configuration.clientTimeout(queryClass))
+                    - ANSWER_RESERVE_MICROS;
             String id;
             synchronized (requests) {
                 id = queryIdPrefix + Long.toString(++queryCount, 36);
             }
-            String workerKey = queryClass.usesIdempotencyKey() ? workerKey(requestRecord.key()) : null;
-            Query query = gatherer.open(new QueryRequest(id, edgeRequest.queryClass(), deadline, false, workerKey,
+            String workerKey = configuration.usesIdempotencyKey(queryClass) ? workerKey(requestRecord.key()) : null;
+            Query query = gatherer.open(new QueryRequest(id, queryClass, deadline, false, workerKey,
                     edgeRequest.parts(), edgeRequest.text()));
             runningQuery.query = query;
             if (runningQuery.cancelled) {
--- a/src/main/java/wallmoor/platform/PlatformFront.java
+++ b/src/main/java/wallmoor/platform/PlatformFront.java
@@ -121,10 +121,6 @@
         Thread.sleep(handOverMillis);
         server.closeAfterAnswers();
         server.finish(finishMillis);
-        int unanswered = gatherer.openQueries();
-        if (unanswered > 0) {
-            log.info("shut down with unanswered queries: count={}", unanswered);
-        }
     }
 
     // ---- requests -----------------------------------------------------------------------------------------
@@ -175,12 +171,11 @@
         if (queryText == null || queryClass < 0 || id == null || !QueryHeaders.isRequestId(id)) {
             throw new HttpProtocolException(400, "X-Request-Id, X-Class or q is absent or malformed");
         }
-        var classInForce = configuration.settings().classes().get(queryClass);
         long timeout = Math.min(QueryHeaders.timeoutMicros(request.header("X-Deadline")),
-                classInForce.clientTimeout());
+                configuration.clientTimeout(queryClass));
         long deadline = clock.fromNanoTime(request.firstByteAt()) + timeout - TRANSFER_MARGIN_MICROS;
         boolean retry = "1".equals(request.header("X-Retry"));
-        String idempotencyKey = classInForce.usesIdempotencyKey()
+        String idempotencyKey = configuration.usesIdempotencyKey(queryClass)
                 ? QueryHeaders.idempotencyKey(request.header("Idempotency-Key"))
                 : null;
         Query query = gatherer.open(new QueryRequest(id, queryClass, deadline, retry, idempotencyKey,
--- a/src/main/java/wallmoor/service/Service.java
+++ b/src/main/java/wallmoor/service/Service.java
@@ -275,6 +275,10 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        int unanswered = nodes.gatherer().openQueries();
+        if (unanswered > 0) {
+            log.info("shut down with unanswered queries: count={}", unanswered);
+        }
         if (rules != null) { // queries still open keep the rules under which they were accepted
             rules.close();
         }
