--- a/src/test/java/wallmoor/http/ServerCrossingsTest.java
+++ b/src/test/java/wallmoor/http/ServerCrossingsTest.java
@@ -169,13 +169,9 @@
 
     @Test
     public void closesIdleConnectionWithoutResetWhileClientStillSends() throws Exception {
-        start(8);
-        Socket client = client();
-        send(client, get("/one"));
-        assertEquals("/one", take(startedTargets));
+        Socket client = startAndRequest("/one");
         assertEquals("HTTP/1.1 200 OK", status(client));
-        var finishing = new Thread(() -> finish(WAIT_SECONDS * 1_000));
-        finishing.start();
+        Thread finishing = startFinishing(WAIT_SECONDS * 1_000);
         client.getInputStream().readAllBytes(); // the rest of the answer, until the end of the stream
         for (int i = 0; i < 10; i++) { // the second write to a closed socket would fail
             send(client, get("/late"));
@@ -190,12 +186,8 @@
     /** Guards against an answer that is lost because the process ends while its request is still being handled. */
     @Test
     public void finishWaitsForRequestsBeingHandledBeyondItsTime() throws Exception {
-        start(8);
-        Socket client = client();
-        send(client, get("/held"));
-        assertEquals("/held", take(startedTargets));
-        var finishing = new Thread(() -> finish(100));
-        finishing.start();
+        Socket client = startAndRequest("/held");
+        Thread finishing = startFinishing(100);
         finishing.join(400);
         assertTrue("a request is being handled", finishing.isAlive());
         released.countDown();
@@ -204,12 +196,26 @@
         assertEquals("HTTP/1.1 200 OK", status(client));
     }
 
-    private void finish(long millis) {
-        try {
-            server.finish(millis);
-        } catch (IOException | InterruptedException e) {
-            throw new AssertionError(e);
-        }
+    /** Starts a server and returns a client whose request for this target it has begun to handle. */
+    private Socket startAndRequest(String target) throws Exception {
+        start(8);
+        Socket client = client();
+        send(client, get(target));
+        assertEquals(target, take(startedTargets));
+        return client;
+    }
+
+    /** Starts a thread that finishes the server. */
+    private Thread startFinishing(long millis) {
+        var thread = new Thread(() -> {
+            try {
+                server.finish(millis);
+            } catch (IOException | InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        });
+        thread.start();
+        return thread;
     }
 
     @Test
@@ -223,8 +229,7 @@
             waiting.add(client());
             send(waiting.get(i), get("/wait" + i));
         }
-        var finishing = new Thread(() -> finish(WAIT_SECONDS * 1_000));
-        finishing.start();
+        Thread finishing = startFinishing(WAIT_SECONDS * 1_000);
         while (finishing.getState() != Thread.State.TIMED_WAITING) { // it sleeps once it has stopped accepting
             assertTrue("the shutdown is in progress", finishing.isAlive());
             Thread.sleep(1);
