Remove a field of PlatformFront that nothing reads any more

Its only use, the line on unanswered queries, has moved to Service. A clean build with tests failed by Error Prone's warning on it (it is off in builds without tests, and an incremental build had not compiled the class again). LayersTest and PlatformTest pass after a complete compilation.

--- a/src/main/java/wallmoor/platform/PlatformFront.java
+++ b/src/main/java/wallmoor/platform/PlatformFront.java
@@ -39,7 +39,6 @@
     private final MonotonicClock clock;
     private final Gatherer gatherer;
     private final WorkerTransport workers;
-    private final Logger log;
     private final Server server;
     private volatile boolean ready;
 
@@ -75,7 +74,6 @@
         this.clock = clock;
         this.gatherer = gatherer;
         this.workers = workers;
-        this.log = log;
         server = new Server("api", acceptor, launch.maxClientConnections(), launch.maxClientConnections(),
                 ConnectionTimeouts.SHORT,
                 this::handle, log::info);
