Transfer the leadership that a drained gatherer regains

What staff saw: a gatherer drained for maintenance, was elected leader again, and stayed overdue; staff were never told that it is free. Cause: transferring leadership was due only while the gatherer still served, and a leader never counts as idle. Fix: the transfer is due in every stage in which the machine is to leave service.

--- a/src/main/java/wallmoor/maintenance/MaintenanceAction.java
+++ b/src/main/java/wallmoor/maintenance/MaintenanceAction.java
@@ -60,11 +60,15 @@
             FleetSnapshot fleet, Budgets budgets) {
         MaintenanceStage stage = status.stage();
         boolean overdue = stage == MaintenanceStage.OVERDUE;
-        boolean out = stage == MaintenanceStage.OUT || (overdue && !status.returned());
-        if (out && machine.incarnation().equals(status.incarnation())
-                && DrainCompletion.drainBlockers(machine, fleet, budgets).isEmpty()) {
+        boolean out = (stage == MaintenanceStage.OUT || (overdue && !status.returned()))
+                && machine.incarnation().equals(status.incarnation());
+        if (out && DrainCompletion.drainBlockers(machine, fleet, budgets).isEmpty()) {
             actions.add(new MaintenanceAction(ActionType.NOTIFY_FREE, machine.id()));
         }
+        boolean regainedLeadership = fleet.leader().equals(machine.id());
+        if (regainedLeadership && (out || stage == MaintenanceStage.DRAINING)) {
+            actions.add(new MaintenanceAction(ActionType.TRANSFER_LEADERSHIP, machine.id()));
+        }
         boolean serves = stage == MaintenanceStage.RETURNING || stage == MaintenanceStage.HELD
                 || stage == MaintenanceStage.GIVEN_UP || (overdue && status.returned());
         if (serves && status.drainedByOrder()) {
--- a/src/test/java/wallmoor/maintenance/MaintenanceSimulationTest.java
+++ b/src/test/java/wallmoor/maintenance/MaintenanceSimulationTest.java
@@ -47,6 +47,12 @@
         simulation.settle(5_000);
     }
 
+    /** Guards against a drained gatherer that leads again, and is therefore never free for the work of staff. */
+    @Example
+    void settlesWhereDrainedGathererRegainsLeadership() {
+        keepsAllRulesUnderRandomFaultsAndSettles(38955);
+    }
+
     private static void injectFault(MaintenanceSimulation simulation, Random random, List<Machine> machines,
             Budgets normalBudgets) {
         String machineId = machines.get(random.nextInt(machines.size())).id();
--- a/src/test/java/wallmoor/maintenance/MaintenanceStateMachineTest.java
+++ b/src/test/java/wallmoor/maintenance/MaintenanceStateMachineTest.java
@@ -228,6 +228,23 @@
                 reasonsOf(state, "g1"));
     }
 
+    /** Guards against a gatherer that leads again once it has drained, and is never reported to staff as free. */
+    @Test
+    public void transfersLeadershipThatDrainedGathererRegains() {
+        FleetSnapshot fleet = withQuorum(fleet(List.of(gatherer("g"), gatherer("h"), gatherer("i"))), true, "h");
+        MaintenanceState draining = next(0, submit(MaintenanceState.EMPTY, 0, request("g")), fleet, oneOut);
+        FleetSnapshot drained = withReports(withPhase(fleet, "g", MachinePhase.DRAINING), 3, drainedReport("g", "g"));
+        FleetSnapshot leadsAgain = withQuorum(drained, true, "g");
+        MaintenanceState out = next(1, draining, drained, oneOut);
+        assertEquals(MaintenanceStage.OUT, stageOf(out, "g"));
+        for (MaintenanceState state : List.of(draining, out)) {
+            assertEquals(List.of(new MaintenanceAction(MaintenanceAction.ActionType.TRANSFER_LEADERSHIP, "g")),
+                    MaintenanceAction.due(state, leadsAgain, oneOut));
+        }
+        assertEquals(List.of(new MaintenanceAction(MaintenanceAction.ActionType.NOTIFY_FREE, "g")),
+                MaintenanceAction.due(out, drained, oneOut));
+    }
+
     @Test
     public void transfersLeadershipBeforeLeadingGathererHandsOver() {
         FleetSnapshot fleet = withQuorum(fleet(List.of(gatherer("g"), gatherer("h"), gatherer("i"))), true, "g");
