Record a blank text as a text in summaries, as a site may compare it as one

What callers saw: a query with a range did not ask a site that has a matching row. Cause: PropertySummary recorded an empty or blank text as missing only, so its property counted as one without texts or with numbers only.

--- a/src/main/java/wallmoor/summaries/PropertySummary.java
+++ b/src/main/java/wallmoor/summaries/PropertySummary.java
@@ -57,8 +57,9 @@
         String key = KeyNormalizer.key(value);
         if (key.isEmpty()) {
             missing = true;
-            // a non-ASCII blank: a site that does not treat it as one sorts it after all plain texts
-            unordered |= value != null && value.toString().chars().anyMatch(c -> c > '~');
+            if (value != null) {
+                addBlank(value.toString());
+            }
             return;
         }
         addKey(key, limits);
@@ -78,6 +79,14 @@
         }
     }
 
+    /** Adds an empty or blank text. A site may also treat it as a text that sorts before all others. */
+    private void addBlank(String text) {
+        texts = true;
+        widenTextExtent("", "", "", "");
+        // a non-ASCII blank: a site that does not treat it as one sorts it after all plain texts
+        unordered |= text.chars().anyMatch(c -> c > '~');
+    }
+
     private void addNumber(double d) {
         if (!Double.isNaN(d)) {
             smallestNumber = Math.min(smallestNumber, d);
