Let voters of a new group vote only once all of them have stored their state

Cause: RejoiningVoter takes a term above 0 as proof that the group existed before, and two voters may begin the first election while the third one still waits for its answers. Fix: GroupFounding keeps a voter of term 0 out of elections until it knows that all voters have stored their state, so that a term above 0 does prove a loss.

--- a/src/main/java/wallmoor/consensus/DurableStore.java
+++ b/src/main/java/wallmoor/consensus/DurableStore.java
@@ -32,6 +32,7 @@
     private final RaftGroupMembersView members;
     private final StoredLog log;
     private final boolean startedEmpty;
+    private boolean hasStoredState;
     private HardState state;
     private FileChannel logFile;
 
@@ -50,6 +51,7 @@
         log = new StoredLog(models, members);
         List<byte[]> vote = directory.readRecords(VOTE_FILE);
         startedEmpty = vote.isEmpty();
+        hasStoredState = !startedEmpty;
         if (startedEmpty) {
             state = new HardState(nowMicros, 0, "", 0);
             logFile = directory.createLog(LOG_FILE, List.of());
@@ -74,13 +76,19 @@
 
     private void saveState() throws IOException {
         directory.replaceFile(VOTE_FILE, List.of(state.encode()));
+        hasStoredState = true;
     }
 
-    /** Returns whether no state was stored: this member is new or has lost its files. */
+    /** Returns whether no state was stored at the start: this member is new or has lost its files. */
     boolean startedEmpty() {
         return startedEmpty;
     }
 
+    /** Returns whether this member's state is on disk, since an earlier process or since {@link #startInTerm}. */
+    boolean hasStoredState() {
+        return hasStoredState;
+    }
+
     /** Returns the stored {@link RejoiningVoter#minimumLeaderTerm}. */
     int minimumLeaderTerm() {
         return state.minimumLeaderTerm();
--- a/src/main/java/wallmoor/consensus/Packet.java
+++ b/src/main/java/wallmoor/consensus/Packet.java
@@ -42,10 +42,14 @@
     /** A voting member's verdict, for the leader to append. */
     record ForwardedVerdict(LogEntry.VoterVerdict entry) implements Packet {}
 
-    /** A rejoining voter's request for the Raft term of another voter. */
+    /** A request of a voter that starts for the Raft term of another voter. */
     record TermRequest() implements Packet {}
 
-    /** The response to a {@link TermRequest}: the term of the sender. */
+    /**
+     * The response to a {@link TermRequest}.
+     *
+     * @param term the term of the sender, or {@link GroupFounding#NO_STORED_STATE}
+     */
     record TermResponse(int term) implements Packet {}
 
     /**
--- a/src/main/java/wallmoor/consensus/RejoiningVoter.java
+++ b/src/main/java/wallmoor/consensus/RejoiningVoter.java
@@ -13,8 +13,9 @@
  * Raft is safe only if a member keeps its term, vote and log. A member that lost them may have voted and acknowledged
  * entries before. It therefore requests the term of <em>all</em> other members. It has never voted or acknowledged
  * anything in a term above the highest reported one, as the member that received such a message was in that term
- * itself. Once a member has responded, it no longer accepts messages of the former process. If all members report 0,
- * the group is new and nothing was lost.
+ * itself. Once a member has responded, it no longer accepts messages of the former process. If no member reports a term
+ * above 0, the group is new and nothing was lost. The reverse holds as well: {@link GroupFounding} lets no member enter
+ * term 1 before all members have stored their state, so a term above 0 proves that this one had some.
  *
  * <p>
  * Otherwise the member starts in the highest reported term, and neither votes nor starts an election until it has
@@ -61,9 +62,9 @@
         }
     }
 
-    /** Returns the term that this member starts in: the highest reported one. */
+    /** Returns the term that this member starts in: the highest reported one, or 0 if no member was in any term. */
     int startTerm() {
-        return terms.values().stream().mapToInt(t -> t).max().orElse(0);
+        return terms.values().stream().mapToInt(t -> t).filter(t -> t > 0).max().orElse(0);
     }
 
     /** Returns the lowest term of a leader that this member may catch up with before it votes; 0 if it may vote. */
--- a/src/main/java/wallmoor/consensus/VotingMember.java
+++ b/src/main/java/wallmoor/consensus/VotingMember.java
@@ -27,6 +27,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(VotingMember.class);
     private static final Marker STATE = MarkerFactory.getMarker(Logging.STATE);
     private static final long RETRY_MICROS = 500_000;
+    /** Short, as the start of a new group waits for its slowest member. */
+    private static final long FOUNDING_RETRY_MICROS = 100_000;
     /** Longer than a leader takes to transfer its leadership. */
     private static final long LEADER_RETRY_MICROS = 4_000_000;
 
@@ -34,6 +36,7 @@
     private final Collection<String> voters;
     private final DurableStore store;
     private final RejoiningVoter rejoining;
+    private final GroupFounding founding;
     private final VoterContext context;
     private final RaftMessageDecoder decoder;
     private final RaftLog raftLog;
@@ -54,6 +57,7 @@
         var others = new TreeSet<>(voters);
         others.remove(self);
         rejoining = new RejoiningVoter(others, store.startedEmpty(), store.minimumLeaderTerm());
+        founding = new GroupFounding(others, store.term() == 0 && store.minimumLeaderTerm() == 0);
         raftLog = new RaftLog(self, voters, store, executor, new Random(seed));
         raftTransport = new RaftTransport(context, rejoining);
         barrier = new ReadBarrier(raftLog, context, executor, timing);
@@ -89,22 +93,35 @@
 
     /** Joins the group when allowed; until then requests the terms of the other members. */
     private void join(long now) throws IOException {
-        if (!rejoining.unansweredVoters().isEmpty()) {
-            if (now - termRequestedAt >= RETRY_MICROS) {
-                termRequestedAt = now;
-                rejoining.unansweredVoters().forEach(v -> context.sendToVoter(v, new Packet.TermRequest()));
+        if (!store.hasStoredState()) {
+            if (!rejoining.unansweredVoters().isEmpty()) {
+                requestTerms(now, rejoining.unansweredVoters(), RETRY_MICROS);
+                return;
             }
-            return;
+            storeStart();
         }
-        if (store.startedEmpty()) {
-            store.startInTerm(rejoining.startTerm(), rejoining.minimumLeaderTerm());
-            LOG.info(STATE, "rules: {}", rejoining.minimumLeaderTerm() == 0
-                    ? "voter started without durable state, as all other voters"
-                    : "voter lost its durable state: catches up before it votes");
+        if (!founding.isComplete()) {
+            requestTerms(now, founding.unconfirmedVoters(), FOUNDING_RETRY_MICROS);
+            return;
         }
         raftLog.start(rules, raftTransport);
     }
 
+    private void requestTerms(long now, Collection<String> from, long retryMicros) {
+        if (now - termRequestedAt >= retryMicros) {
+            termRequestedAt = now;
+            from.forEach(v -> context.sendToVoter(v, new Packet.TermRequest()));
+        }
+    }
+
+    /** Stores the term in which this member starts. */
+    private void storeStart() throws IOException {
+        store.startInTerm(rejoining.startTerm(), rejoining.minimumLeaderTerm());
+        LOG.info(STATE, "rules: {}", rejoining.minimumLeaderTerm() == 0
+                ? "voter started without durable state, as all other voters"
+                : "voter lost its durable state: catches up before it votes");
+    }
+
     private void catchUp(long now) throws IOException {
         long index = rejoining.catchUpIndex();
         if (rejoining.onApplied(rules.appliedIndex(), index < 0 ? -1 : store.termAt(index))) {
@@ -136,6 +153,7 @@
 
     void onRaftMessage(String from, byte[] bytes) throws CorruptDataException {
         if (!raftLog.isStarted()) {
+            founding.onRaftMessage();
             return;
         }
         RaftMessage message = decoder.decode(new VoterEndpoint(from), bytes);
@@ -151,7 +169,8 @@
     }
 
     void onTermRequest(String from) {
-        context.sendToVoter(from, new Packet.TermResponse(store.term()));
+        int term = store.hasStoredState() ? store.term() : GroupFounding.NO_STORED_STATE;
+        context.sendToVoter(from, new Packet.TermResponse(term));
         if (raftLog.isLeader()) { // the requester catches up only with a leader elected after this request
             voters.stream().filter(v -> !v.equals(self) && !v.equals(from) && context.isReachable(v)).findFirst()
                     .ifPresent(raftLog::transferLeadership);
@@ -160,6 +179,7 @@
 
     void onTermResponse(String from, int term) {
         rejoining.onTermResponse(from, term);
+        founding.onTermResponse(from, term);
     }
 
     private void onForwardedVerdict(String from, LogEntry.VoterVerdict verdict) {
@@ -198,10 +218,14 @@
         if (raftLog.isStopped()) {
             return "stopped: " + raftLog.stopReason();
         }
-        if (!raftLog.isStarted()) {
+        if (!store.hasStoredState()) {
             return "waits for " + String.join(", ", rejoining.unansweredVoters())
                     + ": has no durable state, and starts once all other voters have responded";
         }
+        if (!raftLog.isStarted()) {
+            return "waits for " + String.join(", ", founding.unconfirmedVoters())
+                    + ": the group is new, and starts once all voters have stored that they take part";
+        }
         return rejoining.minimumLeaderTerm() > 0 ? "learns" : "votes";
     }
 }
