Bound the memory of feature queries, and read feature servers' pages as a stream

Cause: a page of 60 KB was parsed into a tree of 1.2 MB, and nothing bounded how many pages are in memory at once. What does not fit waits for half of its client's time, then gets 503 with Retry-After; after SIGTERM at once. A feature's links are replaced without a tree as well.

--- a/src/main/java/wallmoor/http/HttpReader.java
+++ b/src/main/java/wallmoor/http/HttpReader.java
@@ -79,6 +79,17 @@
         maxBodyBytes = maxBytes;
     }
 
+    /** Frees a large buffer if all that was read has been consumed. The last message's body is invalid after this. */
+    public void shrinkEmptyBuffer() {
+        if (position == limit) {
+            position = 0;
+            limit = 0;
+            if (buffer.length > 8 * INITIAL_BUFFER_BYTES) {
+                buffer = new byte[INITIAL_BUFFER_BYTES];
+            }
+        }
+    }
+
     /**
      * Waits for the first byte of the next message.
      *
@@ -87,11 +98,7 @@
      */
     public boolean await(int millis) throws IOException {
         if (position == limit) {
-            position = 0;
-            limit = 0;
-            if (buffer.length > 8 * INITIAL_BUFFER_BYTES) {
-                buffer = new byte[INITIAL_BUFFER_BYTES];
-            }
+            shrinkEmptyBuffer();
             timeoutSetter.set(millis);
             if (!readMore()) {
                 return false;
--- a/src/main/java/wallmoor/ogc/FeatureFetch.java
+++ b/src/main/java/wallmoor/ogc/FeatureFetch.java
@@ -5,7 +5,6 @@
 import wallmoor.core.AttemptOutcome;
 import wallmoor.core.Gatherer;
 import wallmoor.http.HttpProtocolException;
-import wallmoor.json.Json;
 
 /** Runs one attempt at a feature server: reads the part's pages on one connection and reports the outcome. */
 final class FeatureFetch {
@@ -54,7 +53,7 @@
             outcome = AttemptOutcome.REJECTED;
         } catch (IOException e) {
             outcome = connection.hasSent() ? AttemptOutcome.RESET : AttemptOutcome.CONNECT_FAILED;
-        } catch (HttpProtocolException | Json.Malformed | RuntimeException | OutOfMemoryError e) {
+        } catch (HttpProtocolException | RuntimeException | OutOfMemoryError e) {
             outcome = AttemptOutcome.ERROR;
         }
         if (!reusable) {
--- a/src/main/java/wallmoor/ogc/FeatureHandler.java
+++ b/src/main/java/wallmoor/ogc/FeatureHandler.java
@@ -13,10 +13,10 @@
 import java.util.Map;
 import wallmoor.config.OgcConfig.Collection;
 import wallmoor.core.Step;
+import wallmoor.http.ByteSlice;
 import wallmoor.http.HttpExchange;
 import wallmoor.http.HttpMessage;
 import wallmoor.http.HttpProtocolException;
-import wallmoor.json.Json;
 
 /**
  * Handles {@code /collections/ID/items/FEATURE}. The feature may be in any shard, so 404 is answered only once every
@@ -40,26 +40,56 @@
     void handle(HttpExchange exchange, HttpMessage request, Collection collection, String pathSegment, String base)
             throws IOException, HttpProtocolException, InterruptedException {
         String escapedId = normalizeEscapes(pathSegment);
+        LinkList links = new LinkList(base).add("self", GEOJSON, "This feature", request.target())
+                .add("collection", JSON, collection.title(), "/collections/" + collection.id());
+        Lookup lookup;
+        try {
+            lookup = lookUpWithMemory(exchange, request, collection, escapedId, links);
+        } catch (MemoryExhaustedException e) {
+            HttpResponses.memoryExhausted(exchange, "", e);
+            return;
+        }
+        if (lookup.failure() != null) {
+            HttpResponses.queryFailure(exchange, "", lookup.failure());
+        } else if (lookup.document() != null) {
+            HttpResponses.document(exchange, GEOJSON, "", lookup.document());
+        } else {
+            throw new HttpProtocolException(404, "no such feature");
+        }
+    }
+
+    /** The outcome of a look-up: the failed query, or the feature's document; neither if no shard has the feature. */
+    private record Lookup(Step.FinalStep failure, byte[] document) {}
+
+    /** Looks up a feature. The memory that this needs is free again when this returns. */
+    private Lookup lookUpWithMemory(HttpExchange exchange, HttpMessage request, Collection collection,
+            String escapedId, LinkList links) throws InterruptedException, MemoryExhaustedException {
+        QueryMemory.Reservation reservation = queries.reserveMemory(request, collection, collection.shards().size());
+        try {
+            return lookUp(exchange, request, collection, escapedId, links);
+        } finally {
+            reservation.release();
+        }
+    }
+
+    private Lookup lookUp(HttpExchange exchange, HttpMessage request, Collection collection, String escapedId,
+            LinkList links) throws InterruptedException {
         List<Integer> unansweredShards = new ArrayList<>(collection.shards());
         while (!unansweredShards.isEmpty()) {
             Step.FinalStep finalStep = queries.run(exchange, request, queries.nextId(), unansweredShards,
                     new FeatureQuery(collection, "", escapedId, 1, Map.of(), queries.isIdempotent(collection)));
             if (!(finalStep instanceof Step.Answer answer)) {
-                HttpResponses.queryFailure(exchange, "", finalStep);
-                return;
+                return new Lookup(finalStep, null);
             }
             for (Step.PartValue value : answer.values()) {
-                List<byte[]> features = FeatureQuery.ShardFeatures.decode(value).features();
+                List<ByteSlice> features = FeatureQuery.ShardFeatures.decode(value).features();
                 if (!features.isEmpty()) {
-                    LinkList links = new LinkList(base).add("self", GEOJSON, "This feature", request.target())
-                            .add("collection", JSON, collection.title(), "/collections/" + collection.id());
-                    HttpResponses.document(exchange, GEOJSON, "", withLinks(features.get(0), links));
-                    return;
+                    return new Lookup(null, withLinks(features.get(0), links));
                 }
                 unansweredShards.remove((Integer) value.shard());
             }
         }
-        throw new HttpProtocolException(404, "no such feature");
+        return new Lookup(null, null);
     }
 
     /** Returns the id with normalized percent-encoding. In a path, a plus sign doesn't stand for a space. */
@@ -69,21 +99,10 @@
     }
 
     /** Returns the feature as the server sent it, with its links replaced by these. */
-    private static byte[] withLinks(byte[] feature, LinkList links) {
-        var document = new ByteArrayOutputStream(feature.length + LINKS_BYTES);
+    private static byte[] withLinks(ByteSlice feature, LinkList links) {
+        var document = new ByteArrayOutputStream(feature.length() + LINKS_BYTES);
         document.writeBytes(bytes("{" + links.member()));
-        try {
-            Json.object(feature, 0, feature.length).memberRanges().forEach((name, range) -> {
-                if (!name.equals("links")) {
-                    var key = new StringBuilder(",");
-                    Json.quote(key, name);
-                    document.writeBytes(bytes(key.append(':').toString()));
-                    document.write(feature, range[0], range[1] - range[0]);
-                }
-            });
-        } catch (Json.Malformed e) {
-            throw new MalformedFeatureException(e);
-        }
+        FeatureJsonReader.copyMembersExcept("links", feature, document);
         document.write('}');
         return document.toByteArray();
     }
--- a/src/main/java/wallmoor/ogc/FeatureQuery.java
+++ b/src/main/java/wallmoor/ogc/FeatureQuery.java
@@ -12,6 +12,7 @@
 import java.util.regex.Pattern;
 import wallmoor.config.OgcConfig;
 import wallmoor.core.Step;
+import wallmoor.http.ByteSlice;
 
 /**
  * A query to feature servers. All parts of a query share it; only their offsets differ.
@@ -37,7 +38,7 @@
      * @param epoch    the epoch of the server's data, or {@link Long#MIN_VALUE} if it didn't report one
      * @param version  the version of the server's data, or {@link Long#MIN_VALUE} if it didn't report one
      */
-    record ShardFeatures(boolean hasMore, List<byte[]> features, String serverId, long epoch, long version) {
+    record ShardFeatures(boolean hasMore, List<ByteSlice> features, String serverId, long epoch, long version) {
         private static final Pattern DATA_VERSION = Pattern.compile("([0-9]{1,18})\\.([0-9]{1,18})");
 
         /**
@@ -45,7 +46,7 @@
          *
          * @param dataVersion the version of the server's data as its response has it ({@code EPOCH.VERSION}), or null
          */
-        static ShardFeatures of(boolean hasMore, List<byte[]> features, String serverId, String dataVersion) {
+        static ShardFeatures of(boolean hasMore, List<ByteSlice> features, String serverId, String dataVersion) {
             Matcher matcher = dataVersion == null ? null : DATA_VERSION.matcher(dataVersion);
             boolean hasVersion = matcher != null && matcher.matches();
             return new ShardFeatures(hasMore, features, serverId,
@@ -59,21 +60,21 @@
                     .append(' ')
                     .append(epoch).append(' ').append(version);
             int length = 0;
-            for (byte[] feature : features) {
-                head.append(' ').append(feature.length);
-                length += feature.length;
+            for (ByteSlice feature : features) {
+                head.append(' ').append(feature.length());
+                length += feature.length();
             }
             byte[] header = head.append('\n').toString().getBytes(ISO_8859_1);
             byte[] encoded = Arrays.copyOf(header, header.length + length);
             int position = header.length;
-            for (byte[] feature : features) {
-                System.arraycopy(feature, 0, encoded, position, feature.length);
-                position += feature.length;
+            for (ByteSlice feature : features) {
+                System.arraycopy(feature.buffer(), feature.from(), encoded, position, feature.length());
+                position += feature.length();
             }
             return encoded;
         }
 
-        /** Decodes what {@link #encode} wrote. */
+        /** Decodes what {@link #encode} wrote; the features are ranges of the value's bytes. */
         static ShardFeatures decode(Step.PartValue value) {
             byte[] encoded = value.bytes();
             int position = 0;
@@ -81,10 +82,10 @@
                 position++;
             }
             String[] head = new String(encoded, 0, position++, ISO_8859_1).split(" ");
-            var features = new ArrayList<byte[]>();
+            var features = new ArrayList<ByteSlice>();
             for (int i = 4; i < head.length; i++) {
                 int length = Integer.parseInt(head[i]);
-                features.add(Arrays.copyOfRange(encoded, position, position + length));
+                features.add(new ByteSlice(encoded, position, length));
                 position += length;
             }
             return new ShardFeatures(head[0].equals("1"), features, URLDecoder.decode(head[1], UTF_8),
--- a/src/main/java/wallmoor/ogc/FeatureQueryRunner.java
+++ b/src/main/java/wallmoor/ogc/FeatureQueryRunner.java
@@ -24,18 +24,21 @@
     private final MonotonicClock clock;
     private final Gatherer gatherer;
     private final FeatureServerTransport transport;
+    private final QueryMemory memory;
     private final AtomicLong startedQueries = new AtomicLong();
 
     FeatureQueryRunner(RoutingSettings settings, MonotonicClock clock, Gatherer gatherer,
-            FeatureServerTransport transport) {
+            FeatureServerTransport transport, QueryMemory memory) {
         this.settings = settings;
         this.clock = clock;
         this.gatherer = gatherer;
         this.transport = transport;
+        this.memory = memory;
     }
 
-    /** Limits the deadlines of all queries: the program ends in so many milliseconds. */
+    /** Limits the deadlines of all queries, and rejects those that wait: the program ends in so many milliseconds. */
     void shutDown(long millis) {
+        memory.shutDown();
         gatherer.control().limitDeadlines(
                 clock.getAsLong() + TimeUnit.MILLISECONDS.toMicros(millis) - RESPONSE_RESERVE_MICROS);
     }
@@ -55,6 +58,20 @@
         return settings.classes().get(collection.queryClass()).minimumShare();
     }
 
+    /**
+     * Waits until the memory for a query is free, for at most half of the time that its client waits: the query needs
+     * the rest.
+     *
+     * @param request    the client's request
+     * @param collection the queried collection
+     * @param parts      the number of the query's parts
+     */
+    QueryMemory.Reservation reserveMemory(HttpMessage request, Collection collection, int parts)
+            throws InterruptedException, MemoryExhaustedException {
+        long maxWaitMicros = settings.classes().get(collection.queryClass()).clientTimeout() / 2;
+        return memory.reserve(parts, request.firstByteAt() + TimeUnit.MICROSECONDS.toNanos(maxWaitMicros));
+    }
+
     /**
      * Runs a query on this thread until it is answered, rejected or failed, or its client has disconnected.
      *
--- a/src/main/java/wallmoor/ogc/FeaturesFront.java
+++ b/src/main/java/wallmoor/ogc/FeaturesFront.java
@@ -64,9 +64,10 @@
                 : new FeatureServerDirectory(config, inventory, summaryLeases);
         endpointUpdater = new EndpointUpdater(RegistryPolicy.of(List.of(policy)), clock, gatherer,
                 List.of(directory == null ? inventory : directory));
-        queries = new FeatureQueryRunner(settings, clock, gatherer, transport);
-        var router = new ResourceRouter(config, new ItemsHandler(queries, directory), new FeatureHandler(queries));
         int clientSockets = launch.sockets() / CLIENT_SOCKETS_DIVISOR;
+        var memory = new QueryMemory(Runtime.getRuntime().maxMemory(), clientSockets);
+        queries = new FeatureQueryRunner(settings, clock, gatherer, transport, memory);
+        var router = new ResourceRouter(config, new ItemsHandler(queries, directory), new FeatureHandler(queries));
         server = new Server("ogc", config.listen(), clientSockets, clientSockets, router::handle, LOG::info);
     }
 
--- a/src/main/java/wallmoor/ogc/FetchConnection.java
+++ b/src/main/java/wallmoor/ogc/FetchConnection.java
@@ -154,8 +154,9 @@
         return !needsReconnect;
     }
 
-    /** Returns the connection for the pool, marked idle from now on. */
+    /** Returns the connection for the pool, marked idle from now on and without its large buffer. */
     PooledConnection release() {
+        connection.in().shrinkEmptyBuffer();
         return new PooledConnection(connection.socket(), connection.in(), connection.address(), System.nanoTime());
     }
 
--- a/src/main/java/wallmoor/ogc/HttpResponses.java
+++ b/src/main/java/wallmoor/ogc/HttpResponses.java
@@ -17,6 +17,8 @@
     static final String OPENAPI = "application/vnd.oai.openapi+json;version=3.0";
 
     private static final long MICROS_PER_SECOND = 1_000_000;
+    /** Queries that are in progress end within about this time. */
+    private static final int MEMORY_RETRY_SECONDS = 1;
 
     private HttpResponses() {}
 
@@ -55,6 +57,12 @@
         return 0;
     }
 
+    /** Answers a query for which there is no memory now, before any attempt; returns the status. */
+    static int memoryExhausted(HttpExchange exchange, String headers, MemoryExhaustedException e) throws IOException {
+        exception(exchange, 503, headers + "Retry-After: " + MEMORY_RETRY_SECONDS + "\r\n", e.getMessage());
+        return 503;
+    }
+
     private static int rejection(HttpExchange exchange, String headers, Step.Reject reject) throws IOException {
         long retryAfterSeconds = (reject.retryAfter() + MICROS_PER_SECOND - 1) / MICROS_PER_SECOND;
         String retryAfter = String.format(Locale.ROOT, "Retry-After: %d\r\n", retryAfterSeconds);
--- a/src/main/java/wallmoor/ogc/ItemsHandler.java
+++ b/src/main/java/wallmoor/ogc/ItemsHandler.java
@@ -33,17 +33,49 @@
         SummaryLeases.PruningDecision pruning = directory == null ? null
                 : directory.decide(collection, parameters, offsets.keySet(), queries.isIdempotent(collection));
         List<Integer> queriedShards = pruning == null ? List.copyOf(offsets.keySet()) : pruning.decision().ask();
-        Step.FinalStep finalStep = queriedShards.isEmpty() ? new Step.Answer(true, List.of())
-                : queries.run(exchange, request, id, queriedShards,
-                        query(collection, parameters, offsets, queriedShards.size()));
-        if (finalStep instanceof Step.Answer || prunedSuffice(pruning, collection, offsets.size(), finalStep)) {
-            var page = new ItemsPage(collection, parameters, offsets, results(collection, pruning, finalStep));
-            HttpResponses.document(exchange, HttpResponses.GEOJSON, PruningReport.header(pruning),
-                    page.document(base, request.target(), PruningReport.member(pruning)));
-            PruningReport.log(id, collection.id(), 200, pruning);
-        } else {
-            int status = HttpResponses.queryFailure(exchange, PruningReport.header(pruning), finalStep);
+        try {
+            GatheredPage gathered = gather(exchange, request, id, queriedShards,
+                    new PageRequest(collection, parameters, offsets, pruning), base);
+            int status = gathered.document() == null
+                    ? HttpResponses.queryFailure(exchange, PruningReport.header(pruning), gathered.finalStep()) : 200;
+            if (gathered.document() != null) {
+                HttpResponses.document(exchange, HttpResponses.GEOJSON, PruningReport.header(pruning),
+                        gathered.document());
+            }
             PruningReport.log(id, collection.id(), status, pruning);
+        } catch (MemoryExhaustedException e) {
+            PruningReport.log(id, collection.id(),
+                    HttpResponses.memoryExhausted(exchange, PruningReport.header(pruning), e), pruning);
+        }
+    }
+
+    /** What a client requests. Its pruning decision is null if all servers are queried. */
+    private record PageRequest(Collection collection, ItemsParameters parameters, Map<Integer, Integer> offsets,
+            SummaryLeases.PruningDecision pruning) {}
+
+    /** The outcome of a query. Its document is null if the page can't be answered. */
+    private record GatheredPage(Step.FinalStep finalStep, byte[] document) {}
+
+    /** Runs the query and assembles the page. The query's memory is free again when this returns. */
+    private GatheredPage gather(HttpExchange exchange, HttpMessage request, String id, List<Integer> queriedShards,
+            PageRequest page, String base) throws InterruptedException, MemoryExhaustedException {
+        Collection collection = page.collection();
+        QueryMemory.Reservation reservation = queries.reserveMemory(request, collection, queriedShards.size());
+        try {
+            Step.FinalStep finalStep = queriedShards.isEmpty() ? new Step.Answer(true, List.of())
+                    : queries.run(exchange, request, id, queriedShards,
+                            query(collection, page.parameters(), page.offsets(), queriedShards.size()));
+            boolean answered = finalStep instanceof Step.Answer
+                    || prunedSuffice(page.pruning(), collection, page.offsets().size(), finalStep);
+            if (!answered) {
+                return new GatheredPage(finalStep, null);
+            }
+            var items = new ItemsPage(collection, page.parameters(), page.offsets(),
+                    results(collection, page.pruning(), finalStep));
+            return new GatheredPage(finalStep,
+                    items.document(base, request.target(), PruningReport.member(page.pruning())));
+        } finally {
+            reservation.release();
         }
     }
 
--- a/src/main/java/wallmoor/ogc/ItemsPage.java
+++ b/src/main/java/wallmoor/ogc/ItemsPage.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import wallmoor.config.OgcConfig.Collection;
+import wallmoor.http.ByteSlice;
 import wallmoor.http.HttpReader;
 
 /**
@@ -52,7 +53,7 @@
             return;
         }
         int taken = 0;
-        for (byte[] feature : result.features()) {
+        for (ByteSlice feature : result.features()) {
             if (!hasRoom(feature)) {
                 break;
             }
@@ -65,16 +66,16 @@
     }
 
     /** Returns whether the feature fits this page; the first one always does. */
-    private boolean hasRoom(byte[] feature) {
+    private boolean hasRoom(ByteSlice feature) {
         return returned < parameters.limit()
-                && (returned == 0 || features.size() + feature.length <= MAX_FEATURES_BYTES);
+                && (returned == 0 || features.size() + feature.length() <= MAX_FEATURES_BYTES);
     }
 
-    private void add(byte[] feature) {
+    private void add(ByteSlice feature) {
         if (returned > 0) {
             features.write(',');
         }
-        features.writeBytes(feature);
+        features.write(feature.buffer(), feature.from(), feature.length());
         returned++;
     }
 
--- a/src/main/java/wallmoor/ogc/ShardPageReader.java
+++ b/src/main/java/wallmoor/ogc/ShardPageReader.java
@@ -3,13 +3,11 @@
 import java.io.IOException;
 import java.net.URI;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import wallmoor.core.Attempt;
 import wallmoor.http.ByteSlice;
 import wallmoor.http.HttpMessage;
 import wallmoor.http.HttpProtocolException;
-import wallmoor.json.Json;
 
 /**
  * Reads all upstream pages of one part, one after another. The part succeeds only when all of them were read. If a
@@ -26,8 +24,10 @@
     private final Attempt attempt;
     private final FetchConnection connection;
     private final FeatureQuery query;
-    private final List<byte[]> features = new ArrayList<>();
+    private final List<ByteSlice> features = new ArrayList<>();
     private int featureBytes;
+    /** Whether a feature was left out because the client's page has no room for it. */
+    private boolean hasDropped;
     /** The number of features per request; smaller after a page that was too long. */
     private int limit;
     /** The version of the server's data as its last response had it, or null. */
@@ -41,47 +41,44 @@
     }
 
     /** Reads the shard's share of a page, or the one feature that the query requests. */
-    FeatureQuery.ShardFeatures read() throws IOException, HttpProtocolException, Json.Malformed,
-            ServerRejectedException, SendNotPermittedException {
+    FeatureQuery.ShardFeatures read() throws IOException, HttpProtocolException, ServerRejectedException,
+            SendNotPermittedException {
         return query.featureId() != null ? readFeature() : readPages();
     }
 
-    private FeatureQuery.ShardFeatures readFeature() throws IOException, HttpProtocolException, Json.Malformed,
+    private FeatureQuery.ShardFeatures readFeature() throws IOException, HttpProtocolException,
             ServerRejectedException, SendNotPermittedException {
         HttpMessage response = get(query.collection().itemsPath(attempt.shard()) + "/" + query.featureId());
         if (response.status() != 404) {
-            ByteSlice body = response.body();
-            addFeature(Json.object(body.buffer(), body.from(), body.length()), body);
+            addFeature(FeatureJsonReader.feature(response.body()));
         }
-        return result(1, false);
+        return result(false);
     }
 
-    private FeatureQuery.ShardFeatures readPages() throws IOException, HttpProtocolException, Json.Malformed,
+    private FeatureQuery.ShardFeatures readPages() throws IOException, HttpProtocolException,
             ServerRejectedException, SendNotPermittedException {
         int offset = query.offsets().get(attempt.shard());
         String target = pageTarget(offset);
         for (int page = 0; page < MAX_PAGES; page++) {
-            ByteSlice body;
+            FeatureJsonReader.FeaturePage upstreamPage;
             try {
-                body = get(target).body();
+                upstreamPage = FeatureJsonReader.page(get(target).body());
             } catch (HttpProtocolException e) {
                 reduceLimit(e);
                 target = pageTarget(offset + features.size());
                 continue;
             }
-            Json.Obj json = Json.object(body.buffer(), body.from(), body.length());
-            addFeatures(json, body);
-            String next = nextLink(json);
-            if (next == null || features.size() >= query.maxFeatures()
-                    || featureBytes > ItemsPage.MAX_FEATURES_BYTES) {
-                return result(query.maxFeatures(), next != null);
+            upstreamPage.features().forEach(this::addFeature);
+            String next = upstreamPage.nextLink();
+            if (next == null || hasDropped || features.size() >= query.maxFeatures()) {
+                return result(next != null);
             }
             target = resolveOnThisServer(next, target);
         }
         if (features.isEmpty()) {
             throw new HttpProtocolException(502, "no features in the first " + MAX_PAGES + " pages");
         }
-        return result(query.maxFeatures(), true);
+        return result(true);
     }
 
     private HttpMessage get(String target) throws IOException, HttpProtocolException, ServerRejectedException,
@@ -105,30 +102,21 @@
                 + query.filterQuery();
     }
 
-    private void addFeatures(Json.Obj page, ByteSlice body) throws HttpProtocolException {
-        if (!"FeatureCollection".equals(page.text("type")) || page.list("features") == null) {
-            throw new HttpProtocolException(502, "page is not a FeatureCollection with a list of features");
-        }
-        for (Object item : page.list("features")) {
-            if (!(item instanceof Json.Obj feature)) {
-                throw new HttpProtocolException(502, "features contains an item that is not an object");
-            }
-            addFeature(feature, body);
+    /** Keeps a copy of a feature if the client's page may have room for it, given this shard's earlier features. */
+    private void addFeature(ByteSlice feature) {
+        boolean hasRoom = features.isEmpty() || (features.size() < query.maxFeatures()
+                && featureBytes + feature.length() <= ItemsPage.MAX_FEATURES_BYTES);
+        if (hasDropped || !hasRoom) {
+            hasDropped = true;
+            return;
         }
+        features.add(feature.copy());
+        featureBytes += feature.length();
     }
 
-    private void addFeature(Json.Obj feature, ByteSlice body) throws HttpProtocolException {
-        if (!"Feature".equals(feature.text("type")) || !feature.members().containsKey("geometry")) {
-            throw new HttpProtocolException(502, "item is not a Feature with a geometry");
-        }
-        features.add(Arrays.copyOfRange(body.buffer(), feature.start(), feature.end()));
-        featureBytes += feature.end() - feature.start();
-    }
-
-    /** Creates the part's result with at most this many features; if some are left over, it has more. */
-    private FeatureQuery.ShardFeatures result(int maxFeatures, boolean hasMore) {
-        return FeatureQuery.ShardFeatures.of(hasMore || features.size() > maxFeatures,
-                features.subList(0, Math.min(features.size(), maxFeatures)), attempt.worker().id(), dataVersion);
+    /** Creates the part's result; it has more features if the server has, or if some were left out. */
+    private FeatureQuery.ShardFeatures result(boolean serverHasMore) {
+        return FeatureQuery.ShardFeatures.of(serverHasMore || hasDropped, features, attempt.worker().id(), dataVersion);
     }
 
     /** Resolves a link to the next page. All pages of a part come from its attempt's server, so others are rejected. */
@@ -144,14 +132,4 @@
             throw new HttpProtocolException(502, "link to the next page is malformed: " + next);
         }
     }
-
-    private static String nextLink(Json.Obj page) {
-        List<?> links = page.list("links");
-        for (Object link : links == null ? List.of() : links) {
-            if (link instanceof Json.Obj object && "next".equals(object.text("rel"))) {
-                return object.text("href");
-            }
-        }
-        return null;
-    }
 }
--- a/src/test/java/wallmoor/LayersTest.java
+++ b/src/test/java/wallmoor/LayersTest.java
@@ -34,7 +34,10 @@
             entry("edge", "idempotency", "queries", "core", "config", "http", "json", "decision"),
             entry("edge.http", "edge", "idempotency", "queries", "config", "http"),
             entry("edge.coap", "edge", "idempotency", "queries", "config"),
-            entry("ogc", "pruning", "summaries", "rules", "sources", "inventory", "endpoints", "core", "config",
+            // decides which requests may use memory of the heap: no I/O, no use of the core
+            entry("memory"),
+            entry("ogc", "memory", "pruning", "summaries", "rules", "sources", "inventory", "endpoints", "core",
+                    "config",
                     "http", "json", "decision"),
             // decides which gatherers are group members: no I/O, no use of the core
             entry("peers"),
@@ -117,7 +120,7 @@
         var forbidden = Pattern
                 .compile("java\\.(io|net|nio\\.(file|channels))|System\\.(nano|current|out|err)|Thread|Instant|slf4j");
         for (String decisionPackage : List.of("decision", "endpoints", "idempotency", "peers", "metrics", "bans",
-                "rules", "placement", "summaries", "migration", "maintenance")) {
+                "rules", "placement", "summaries", "migration", "maintenance", "memory")) {
             try (var files = Files.list(Path.of("src/main/java/wallmoor", decisionPackage))) {
                 String text = files.filter(Files::isRegularFile).map(LayersTest::read).collect(Collectors.joining());
                 assertEquals(decisionPackage, List.of(),
--- a/src/test/java/wallmoor/net/Program.java
+++ b/src/test/java/wallmoor/net/Program.java
@@ -31,6 +31,7 @@
               "OverloadFor":2000000,"GraceToAnswer":20000,"AskWithin":10000000},
              "Costs":{"CrossZone":0.026,"Waste":0.077}}""";
 
+    private static final int HEAP_MB = 96;
     static final long SEED = 0x8c1f30d27a5be964L;
 
     final List<String> log = Collections.synchronizedList(new ArrayList<>());
@@ -67,8 +68,13 @@
         port = Ports.free();
         this.sockets = sockets;
         Files.writeString(file, change.apply(config("t", SEED, port, discovery, members, sockets)));
-        process = launch(file, operator);
+        process = launch(file, operator, HEAP_MB);
         read(process, log);
+        awaitReady(port);
+    }
+
+    /** Waits until the program at this port is ready. */
+    static void awaitReady(int port) throws InterruptedException {
         await("ready", () -> {
             try {
                 return Client.get(port, "/-/ready").status == 200;
@@ -131,12 +137,17 @@
     }
 
     static Process launch(String config, Path operator) throws IOException {
-        return launch(Files.writeString(Files.createTempFile("wallmoor", ".json"), config), operator);
+        return launch(config, operator, HEAP_MB);
+    }
+
+    /** Starts the program with a heap of so many megabytes. */
+    static Process launch(String config, Path operator, int heapMb) throws IOException {
+        return launch(Files.writeString(Files.createTempFile("wallmoor", ".json"), config), operator, heapMb);
     }
 
-    private static Process launch(Path file, Path operator) throws IOException {
+    private static Process launch(Path file, Path operator, int heapMb) throws IOException {
         file.toFile().deleteOnExit();
-        var builder = new ProcessBuilder(command());
+        var builder = new ProcessBuilder(command(heapMb));
         builder.environment().put("ROUTER_CONFIG", file.toString());
         if (operator != null) {
             builder.environment().put("WALLMOOR_OPERATOR", operator.toString());
@@ -146,7 +157,12 @@
 
     /** Returns the command that starts the program as a server. */
     static List<String> command() {
-        return List.of(ProcessHandle.current().info().command().orElse("java"), "-Xmx96m", "-XX:+UseSerialGC",
+        return command(HEAP_MB);
+    }
+
+    private static List<String> command(int heapMb) {
+        return List.of(ProcessHandle.current().info().command().orElse("java"), "-Xmx" + heapMb + "m",
+                "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "wallmoor.Main", "serve");
     }
 
