--- a/src/test/java/wallmoor/ogc/FeatureJsonReaderTest.java
+++ b/src/test/java/wallmoor/ogc/FeatureJsonReaderTest.java
@@ -18,8 +18,10 @@
 
 /** Guards against features that are cut out of a page at the wrong bytes, and against memory for each member. */
 public class FeatureJsonReaderTest {
-    private static final String FIRST = "{ \"geometry\" : null , \"type\":\"Feature\",\"note\":\"é}\\\"]\",\"a\":[{\"b\":{}}]}";
-    private static final String SECOND = "{\"type\":\"Feature\",\"type\":\"Feature\",\"geometry\":{\"type\":\"Point\"}}";
+    private static final String FIRST = "{ \"geometry\" : null , \"type\":\"Feature\","
+            + "\"note\":\"é}\\\"]\",\"a\":[{\"b\":{}}]}";
+    private static final String SECOND = "{\"type\":\"Feature\",\"type\":\"Feature\","
+            + "\"geometry\":{\"type\":\"Point\"}}";
     private static final int PAGE_BYTES = 60 * 1024;
     /** A tree of the page takes some 20 bytes for each of its bytes, and a stream only each name in turn. */
     private static final long MAX_ALLOCATION = 10 * PAGE_BYTES;
@@ -46,7 +48,8 @@
     @Test
     public void returnsBytesOfEachFeatureAndNextLink() throws Exception {
         var page = page(" {\"features\":[" + FIRST + "\n,\t" + SECOND + "],\"links\":[3,{\"rel\":[\"next\"]},{\"rel\":"
-                + "\"self\",\"href\":\"/a\"},{\"href\":\"/\\u00e9b\",\"rel\":\"next\"},{\"rel\":\"next\",\"href\":\"/c\"}],"
+                + "\"self\",\"href\":\"/a\"},{\"href\":\"/\\u00e9b\",\"rel\":\"next\"},{\"rel\":\"next\","
+                + "\"href\":\"/c\"}],"
                 + "\"type\":\"FeatureCollection\"} ");
         assertEquals(List.of(FIRST, SECOND), page.features().stream().map(FeatureJsonReaderTest::text).toList());
         assertEquals("/éb", page.nextLink());
