Answer 400 to a query without a class

What callers saw: status 500. Cause: the list of class names allows no null, so that searching it for the absent header throws. Fix: no name has the index -1, as an unknown one.

--- a/src/main/java/wallmoor/config/ClassIndexes.java
+++ b/src/main/java/wallmoor/config/ClassIndexes.java
@@ -22,12 +22,17 @@
      */
     static final int MAX_CLASS_NAMES = 256;
 
-    /** Returns the index of an active class, or -1. */
+    /** Returns the index of an active class, or -1; also for a null name, as of an absent header. */
     int of(String name) {
-        int index = names.indexOf(name);
+        int index = ofAny(name);
         return removed.contains(index) ? -1 : index;
     }
 
+    /** Returns the index of a class, active or removed, or -1. */
+    int ofAny(String name) {
+        return name == null ? -1 : names.indexOf(name);
+    }
+
     /**
      * Returns the indexes with exactly these classes active.
      *
--- a/src/test/java/wallmoor/config/ClassIndexesTest.java
+++ b/src/test/java/wallmoor/config/ClassIndexesTest.java
@@ -54,6 +54,17 @@
         }
     }
 
+    /** Guards against an exception, and so a status 500, for a request without a class. */
+    @Test
+    public void returnsNoIndexForAbsentNameOrRemovedClass() {
+        ClassIndexes indexes = empty().changedTo(List.of("a"), List.of(queryClass(1)))
+                .changedTo(List.of("b"), List.of(queryClass(2)));
+        assertEquals(-1, indexes.of(null));
+        assertEquals(-1, indexes.of("a"));
+        assertEquals(0, indexes.ofAny("a"));
+        assertEquals(-1, indexes.ofAny("c"));
+    }
+
     @Test
     public void rejectsDuplicateNamesAndTooManyNames() {
         ClassIndexes one = empty().changedTo(List.of("a"), List.of(queryClass(1)));
