Count weights that fall 0.0001 short as complete

What callers saw: a query with three weights of 0.3333 was refused after all its parts had been answered. Cause: the tolerance was 0.00005; WIRE allows sums to fall 0.0001 short. Fix: 0.0001, and 1e-9 for sums of binary fractions.

--- a/src/main/java/wallmoor/decision/TuningParameters.java
+++ b/src/main/java/wallmoor/decision/TuningParameters.java
@@ -119,8 +119,8 @@
 
     /** Minimum remaining time of a query, in latencies, for which a further attempt is useful. */
     static final double MIN_LATENCIES_LEFT = 0.5;
-    /** Tolerance of sums of part weights, which are rounded on the wire. */
-    static final double WEIGHT_TOLERANCE = 5e-5;
+    /** A sum of part weights, which are rounded on the wire, may fall short by 0.0001; the rest is for binary fractions. */
+    static final double WEIGHT_TOLERANCE = 1e-4 + 1e-9;
 
     // ---- poison queries ----
 
--- a/src/test/java/wallmoor/decision/PolicyHarness.java
+++ b/src/test/java/wallmoor/decision/PolicyHarness.java
@@ -121,13 +121,22 @@
         return query(0, timeLeft, true, true, shards);
     }
 
+    /** Sends a query whose parts have this weight each. */
+    String queryWithWeight(double weight, int... shards) {
+        return query(0, 4_000_000, false, true, weight, shards);
+    }
+
     private String query(int queryClass, long timeLeft, boolean isRetry, boolean withKey, int... shards) {
+        return query(queryClass, timeLeft, isRetry, withKey, 1.0 / shards.length, shards);
+    }
+
+    private String query(int queryClass, long timeLeft, boolean isRetry, boolean withKey, double weight,
+            int... shards) {
         String id = "q" + queries;
         policy.onQueryArrived(now, new QueryArrived(id, queries, queryClass, 0, null, now + timeLeft, Absent.VALUE,
                 shards.length, isRetry, withKey));
         for (int shard : shards) {
-            policy.onPartArrived(now, new PartArrived(id + "/" + shard, queries, shard, 1.0 / shards.length,
-                    Absent.VALUE));
+            policy.onPartArrived(now, new PartArrived(id + "/" + shard, queries, shard, weight, Absent.VALUE));
         }
         queries++;
         policy.onRoundEnd(now);
--- a/src/test/java/wallmoor/decision/QueryCompletionTest.java
+++ b/src/test/java/wallmoor/decision/QueryCompletionTest.java
@@ -47,6 +47,20 @@
         assertTrue(harness.actions("answer").isEmpty());
     }
 
+    /** Guards against a query that is never complete because its weights are rounded to four digits. */
+    @Test
+    void answersQueryWhoseWeightsAddUpTo9999() {
+        var harness = new PolicyHarness(
+                new PolicyHarness.SiteSettings().withOnlyClass(PolicyHarness.SiteSettings.someParts(1, 1)))
+                .workers(12);
+        String queryId = harness.queryWithWeight(0.3333, 0, 2, 4);
+        List<String> attempts = harness.actions("startAttempt");
+        for (int i = 0; i < 3; i++) {
+            harness.endAttempt(queryId + "/" + 2 * i, 0, attempts.get(i).split(" ")[2], AttemptEndReason.OK, 10 * MS);
+        }
+        assertEquals(List.of("answer " + queryId + " true"), harness.actions("answer"));
+    }
+
     @Test
     void answersSecondPhaseOnceAllPartsAreAnswered() {
         var harness = new PolicyHarness(new PolicyHarness.SiteSettings()
