Go on reading an inventory after a scalar that its tag does not allow

What operators saw: after a file with a scalar such as '._' or !!binary "%%%" no later change took effect. Cause: the YAML library throws exceptions other than its own, which ended the thread. Fix: the file is rejected by name, and the thread outlives any exception.

--- a/src/main/java/wallmoor/inventory/InventorySource.java
+++ b/src/main/java/wallmoor/inventory/InventorySource.java
@@ -79,9 +79,10 @@
                     log.info("inventory applied: file={} hosts={}", file.getFileName(), endpoints.size());
                     lastError = "";
                 }
-            } catch (ConfigException e) {
-                if (!lastError.equals(e.getMessage())) {
-                    lastError = e.getMessage();
+            } catch (RuntimeException e) { // whatever the file holds, the thread must go on
+                String error = e instanceof ConfigException ? e.getMessage() : e.toString();
+                if (!lastError.equals(error)) {
+                    lastError = error;
                     log.error("inventory rejected, last valid endpoints remain in use: error={}", lastError);
                     listener.accept(new WatchEvent.SourceFailure(NAME, lastError));
                 }
--- a/src/main/java/wallmoor/inventory/YamlInventory.java
+++ b/src/main/java/wallmoor/inventory/YamlInventory.java
@@ -43,6 +43,8 @@
             return new Yaml(new SafeConstructor(options)).load(text);
         } catch (YAMLException e) {
             throw InventoryParser.fault(file, "file", "is not valid YAML: " + e.getMessage().replaceAll("\\s+", " "));
+        } catch (RuntimeException e) { // the library's constructors of numbers, dates and bytes throw any kind
+            throw InventoryParser.fault(file, "file", "has a scalar that its tag does not allow: " + e);
         }
     }
 
--- a/src/test/java/wallmoor/inventory/InventorySourceTest.java
+++ b/src/test/java/wallmoor/inventory/InventorySourceTest.java
@@ -53,6 +53,28 @@
         assertEquals(WorkerEndpoint.EndpointState.SERVING, inventory.pollForChange().get(1).state());
     }
 
+    /** Guards against the end of the thread that reads the file, by exceptions of the library other than its own. */
+    @Test
+    public void rejectsScalarsThatTheirTagDoesNotAllowAndAppliesTheNextFile() throws Exception {
+        Path file = folder.newFile("hosts.yaml").toPath();
+        Files.writeString(file, YAML);
+        InventorySource inventory = inventory(file);
+        inventory.pollForChange();
+        for (String scalar : List.of("._", "!!int \"x\"", "!!float \"x\"", "!!binary \"%%%\"", "!!timestamp \"x\"",
+                "!!bool \"x\"")) {
+            Files.writeString(file, YAML + "odd: {vars: {a: " + scalar + "}}\n");
+            assertNull(scalar, inventory.pollForChange());
+            try {
+                inventory.pollForChange();
+            } catch (ConfigException e) {
+                assertTrue(e.getMessage(), e.getMessage().contains("hosts.yaml"));
+            }
+            Files.writeString(file, YAML);
+            assertNull(inventory.pollForChange());
+            assertEquals(scalar, 2, inventory.pollForChange().size());
+        }
+    }
+
     @Test
     public void doesNotRemoveHostsWhileTheFileIsPartlyWritten() throws Exception {
         Path file = folder.newFile("hosts.yaml").toPath();
