Lock the file of devices while a command changes it

Need: two commands at once lost the change of the first one, as each reads, changes and replaces the file. Fix: an exclusive lock on FILE.lock from reading to replacing.

--- a/src/main/java/wallmoor/cli/DevicesCommand.java
+++ b/src/main/java/wallmoor/cli/DevicesCommand.java
@@ -1,10 +1,12 @@
 package wallmoor.cli;
 
 import java.io.IOException;
+import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -37,6 +39,10 @@
             throw new ParameterException(spec.commandLine(),
                     "the device name '" + device + "' is invalid: 1 to 64 letters, digits, - or _");
         }
+        return locked(file, () -> addLocked(file, device));
+    }
+
+    private int addLocked(Path file, String device) throws IOException {
         List<String> lines = read(file);
         if (lines.stream().anyMatch(l -> l.startsWith(device + ","))) {
             System.err.println("wallmoor: device " + device + " already exists in " + file + ": revoke it first");
@@ -63,6 +69,10 @@
                     + "are retained.")
     int revoke(@Option(names = "--file", required = true, paramLabel = "FILE") Path file,
             @Parameters(paramLabel = "DEVICE") String device) throws IOException {
+        return locked(file, () -> revokeLocked(file, device));
+    }
+
+    private int revokeLocked(Path file, String device) throws IOException {
         List<String> lines = read(file);
         if (!lines.removeIf(l -> l.startsWith(device + ","))) {
             System.err.println("wallmoor: device " + device + " does not exist in " + file);
@@ -72,6 +82,23 @@
         return 0;
     }
 
+    /** A change of the file, which returns the command's exit code. */
+    private interface Change {
+        int apply() throws IOException;
+    }
+
+    /**
+     * Applies a change while no other command changes the file: the file is read, changed and replaced, so a change
+     * between the two would be lost. The lock is held on a file of its own, as the file itself is replaced.
+     */
+    private static int locked(Path file, Change change) throws IOException {
+        Path lockFile = file.toAbsolutePath().resolveSibling(file.getFileName() + ".lock");
+        try (var channel = FileChannel.open(lockFile, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            channel.lock(); // closing the channel releases it
+            return change.apply();
+        }
+    }
+
     private List<String> read(Path file) throws IOException {
         if (!Files.exists(file)) {
             return new ArrayList<>(List.of(HEADER));
