Keep the shard layout of the start in a reloaded configuration

What callers saw: after SIGHUP with a larger layout the edge sent a part to a worker that does not hold its shard. Cause: the layout takes effect at the next start, but the reloaded configuration carried it. Fix: changedTo keeps the layout in effect.

--- a/src/main/java/wallmoor/config/LaunchConfig.java
+++ b/src/main/java/wallmoor/config/LaunchConfig.java
@@ -182,7 +182,8 @@
 
     /**
      * Returns this configuration with the settings and the discovery address of a reloaded file. Its classes keep the
-     * indexes that they have here.
+     * indexes that they have here. The layout of the shards stays the same: a changed one takes effect at the next
+     * start.
      *
      * @throws ConfigException if the reloaded file lacks a key that this one has
      */
@@ -193,7 +194,7 @@
         }
         ClassIndexes indexes = classIndexes().changedTo(reloaded.classes, reloaded.settings.classes());
         return new LaunchConfig(name, listen, reloaded.discovery, seed,
-                reloaded.settings.withClasses(indexes.classes()), known, zones,
+                reloaded.settings.withClasses(indexes.classes()).withLayout(settings.layout()), known, zones,
                 kinds, indexes.names(), sockets, memoryMb, streamsPerConnection, connIdleMillis, connectMillis, admin,
                 isSocketInherited, indexes.removed(), reloaded.keys, reloaded.isListPushed);
     }
--- a/src/test/java/wallmoor/net/EdgeTest.java
+++ b/src/test/java/wallmoor/net/EdgeTest.java
@@ -79,6 +79,24 @@
         return HexFormat.of().formatHex(EdgeRequest.sha256((device + "/" + id).getBytes(UTF_8)), 0, 16);
     }
 
+    /** Guards against parts to workers that do not hold them: a changed layout takes effect at the next start. */
+    @Test
+    public void keepsTheShardLayoutOfTheStartAfterReload() throws Exception {
+        start(id -> "ok");
+        reload("\"Slabs\":4", "\"Slabs\":8");
+        var outside = put(id(), body("all", "q", 6));
+        assertEquals(text(outside), 400, outside.statusCode());
+        assertEquals(200, put(id(), body("all", "q", 0)).statusCode());
+    }
+
+    /** Changes the configuration file and has the program read it again. */
+    private void reload(String from, String to) throws Exception {
+        String config = Files.readString(program.file);
+        assertTrue(config, config.contains(from));
+        program.reload(0, config.replace(from, to));
+        Program.await("read again", () -> program.log.stream().anyMatch(l -> l.contains("configuration read again")));
+    }
+
     @Test
     public void separatesQueriesOfDevicesAndRefusesRevokedDevices() throws Exception {
         start(id -> "ok");
--- a/src/test/java/wallmoor/net/Program.java
+++ b/src/test/java/wallmoor/net/Program.java
@@ -37,7 +37,7 @@
     final List<String> log = Collections.synchronizedList(new ArrayList<>());
     final int port;
     final Process process;
-    private final Path file = Files.createTempFile("wallmoor", ".json");
+    final Path file = Files.createTempFile("wallmoor", ".json");
 
     private final int sockets;
 
