Return the outcome of a repeated query after a reload has removed its class

What devices saw: 400 for the repeat of a query that had run, though its outcome was stored. Cause: the class was looked up before the id.

--- a/src/main/java/wallmoor/config/LaunchConfig.java
+++ b/src/main/java/wallmoor/config/LaunchConfig.java
@@ -157,6 +157,11 @@
         return classIndexes().of(name);
     }
 
+    /** Returns the index of a class that is active, or that was before a reload removed it; -1 for any other name. */
+    public int knownClassIndex(String name) {
+        return classIndexes().ofAny(name);
+    }
+
     /** Returns after how many microseconds a client of this class gives up; {@code index} as of {@link #classIndex}. */
     public long clientTimeout(int index) {
         return settings.classes().get(index).clientTimeout();
--- a/src/main/java/wallmoor/edge/EdgeQueries.java
+++ b/src/main/java/wallmoor/edge/EdgeQueries.java
@@ -89,11 +89,17 @@
     /**
      * Submits a device's query, and starts it if it is to be run. After {@link RequestDecision.Execute} and
      * {@link RequestDecision.Attach} use {@link #await}.
+     *
+     * @throws EdgeRequest.InvalidQueryException if the query's class was removed and the query is not a repeat
      */
-    public RequestDecision submit(IdempotencyKey key, EdgeRequest edgeRequest) {
+    public RequestDecision submit(IdempotencyKey key, EdgeRequest edgeRequest)
+            throws EdgeRequest.InvalidQueryException {
         RunningQuery newQuery = null;
         RequestDecision decision;
         synchronized (requests) {
+            if (!edgeRequest.isClassActive() && !requests.isKnown(key)) {
+                throw new EdgeRequest.InvalidQueryException("class is no longer known");
+            }
             decision = requests.submit(clock.getAsLong(), key, edgeRequest.digest(), edgeRequest.isIdempotent());
             if (decision instanceof RequestDecision.Execute run) {
                 newQuery = new RunningQuery();
--- a/src/main/java/wallmoor/edge/EdgeRequest.java
+++ b/src/main/java/wallmoor/edge/EdgeRequest.java
@@ -16,11 +16,13 @@
 /**
  * A device's query, independent of the protocol and format in which it came.
  *
+ * @param isClassActive whether the class exists now; after a reload has removed it, only repeats are answered
  * @param timeoutMillis the time that the query may take from its acceptance
  * @param text          the text of the query, in UTF-8
  * @param digest        equal for equal queries, whether in JSON or CBOR and in any order of members
  */
-public record EdgeRequest(int queryClass, boolean isIdempotent, long timeoutMillis, List<Query.PartRequest> parts,
+public record EdgeRequest(int queryClass, boolean isClassActive, boolean isIdempotent, long timeoutMillis,
+        List<Query.PartRequest> parts,
         byte[] text, BodyDigest digest) {
     private static final long MAX_TIMEOUT_MILLIS = 600_000;
 
@@ -34,7 +36,7 @@
             throw new InvalidQueryException(e.getMessage());
         }
         String className = body.text("class");
-        int queryClass = launch.classIndex(className);
+        int queryClass = launch.knownClassIndex(className);
         if (queryClass < 0) {
             throw new InvalidQueryException("class is absent or unknown: " + className);
         }
@@ -50,7 +52,7 @@
                 QueryBody.parseParts(body, launch.settings().layout().shards()));
         parts.sort(Comparator.comparingInt(Query.PartRequest::shard));
         boolean isIdempotent = launch.settings().classes().get(queryClass).idempotency() == Idempotency.IDEMPOTENT;
-        return new EdgeRequest(queryClass, isIdempotent, (long) timeoutMillis, parts,
+        return new EdgeRequest(queryClass, launch.classIndex(className) >= 0, isIdempotent, (long) timeoutMillis, parts,
                 queryText.getBytes(StandardCharsets.UTF_8), digest(className, (long) timeoutMillis, parts, queryText));
     }
 
--- a/src/main/java/wallmoor/edge/http/EdgeHttp.java
+++ b/src/main/java/wallmoor/edge/http/EdgeHttp.java
@@ -125,22 +125,22 @@
             if (to - from + 1 != content.length || to >= total) {
                 throw new HttpProtocolException(400, "Content-Range and the body's length don't agree");
             }
-            RequestDecision decision = queries.uploadChunk(key, from, content, total, to == total - 1);
-            if (!(decision instanceof RequestDecision.UploadComplete upload)) {
-                respond(request, exchange, key, decision, waitSeconds(request, DEFAULT_WAIT_SECONDS));
+            RequestDecision uploaded = queries.uploadChunk(key, from, content, total, to == total - 1);
+            if (!(uploaded instanceof RequestDecision.UploadComplete upload)) {
+                respond(request, exchange, key, uploaded, waitSeconds(request, DEFAULT_WAIT_SECONDS));
                 return;
             }
             content = upload.body();
         }
         byte[] body = ContentCoding.ofContentEncoding(request.header("Content-Encoding")).decompress(content,
                 HttpReader.MAX_BODY_BYTES);
-        EdgeRequest edgeRequest;
+        RequestDecision decision;
         try {
-            edgeRequest = EdgeRequest.parse(body, launch.get());
+            decision = queries.submit(key, EdgeRequest.parse(body, launch.get()));
         } catch (QueryBody.InvalidQueryBodyException | EdgeRequest.InvalidQueryException e) {
             throw new HttpProtocolException(400, e.getMessage());
         }
-        respond(request, exchange, key, queries.submit(key, edgeRequest), waitSeconds(request, DEFAULT_WAIT_SECONDS));
+        respond(request, exchange, key, decision, waitSeconds(request, DEFAULT_WAIT_SECONDS));
     }
 
     /** Returns the wait from the Prefer header in seconds, limited to {@code MAX_WAIT_SECONDS}, or the default. */
--- a/src/main/java/wallmoor/idempotency/IdempotentRequests.java
+++ b/src/main/java/wallmoor/idempotency/IdempotentRequests.java
@@ -83,6 +83,11 @@
         return execute(account, key, digest, mayRepeat);
     }
 
+    /** Returns whether a request with this key is running, or its outcome is retained. */
+    public boolean isKnown(IdempotencyKey key) {
+        return store.request(key) != null;
+    }
+
     private static RequestDecision resubmit(RequestRecord known, BodyDigest digest) {
         if (!known.digest.equals(digest)) {
             return new RequestDecision.Conflict();
--- a/src/test/java/wallmoor/net/EdgeTest.java
+++ b/src/test/java/wallmoor/net/EdgeTest.java
@@ -79,6 +79,21 @@
         return HexFormat.of().formatHex(EdgeRequest.sha256((device + "/" + id).getBytes(UTF_8)), 0, 16);
     }
 
+    /** Guards against a device that never learns the outcome of a query whose class was removed meanwhile. */
+    @Test
+    public void returnsOutcomeOfRepeatedQueryAfterReloadRemovedItsClass() throws Exception {
+        start(id -> "ok");
+        String id = id();
+        var first = put(id, body("once", "q", 0));
+        assertEquals(200, first.statusCode());
+        reload("\"Name\":\"once\"", "\"Name\":\"single\"");
+        assertArrayEquals(first.body(), put(id, body("once", "q", 0)).body());
+        assertEquals("another query", 409, put(id, body("once", "r", 0)).statusCode());
+        var other = put(id(), body("once", "q", 0));
+        assertEquals(text(other), 400, other.statusCode());
+        assertEquals(1, worker.count("Q"));
+    }
+
     /** Guards against parts to workers that do not hold them: a changed layout takes effect at the next start. */
     @Test
     public void keepsTheShardLayoutOfTheStartAfterReload() throws Exception {
