Report a rejected query as one that may have run, if a worker may have run it

What devices saw: "ran":"never" for a query whose parts ran at workers that then failed. Cause: the policy rejects whatever may be repeated, and the edge took each rejection as proof. Fix: "maybe" if a part was attempted and the class may be repeated.

--- a/src/main/java/wallmoor/edge/EdgeQueries.java
+++ b/src/main/java/wallmoor/edge/EdgeQueries.java
@@ -153,7 +153,7 @@
         try {
             threads.execute(() -> run(requestRecord, runningQuery, edgeRequest));
         } catch (RejectedExecutionException | OutOfMemoryError e) {
-            complete(requestRecord, runningQuery, refused(limits.minRetryAfter(), "too much at work"));
+            complete(requestRecord, runningQuery, refused(limits.minRetryAfter(), "too much at work", false));
         }
     }
 
@@ -180,7 +180,7 @@
             }
             Step.FinalStep finalStep = gatherer.run(query, workers);
             clientGone = finalStep instanceof Step.ClientGone;
-            outcome = outcome(finalStep);
+            outcome = outcome(finalStep, edgeRequest.isIdempotent());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (RuntimeException e) {
@@ -217,7 +217,7 @@
         runningQuery.outcome.complete(stored);
     }
 
-    private StoredOutcome outcome(Step.FinalStep finalStep) {
+    private StoredOutcome outcome(Step.FinalStep finalStep, boolean isIdempotent) {
         if (finalStep instanceof Step.Answer answer) {
             var json = new StringBuilder(64 + 64 * answer.values().size()).append("{\"outcome\":\"answered\",");
             QueryBody.appendHits(json, answer);
@@ -232,17 +232,23 @@
                     0, body);
         }
         if (finalStep instanceof Step.Reject reject) {
-            return refused(reject.retryAfter(), "turned away; ask again under a new id");
+            // a query that may be repeated is rejected also after its parts may have run
+            return refused(reject.retryAfter(), "turned away; ask again under a new id",
+                    reject.attempted() && isIdempotent);
         }
         return finalStep instanceof Step.Fail failure
                 ? failed(failure.mayHaveRun(), failure.timedOut() ? "nodes were waited for in vain" : "nodes failed it")
                 : failed(true, "given up");
     }
 
-    private static StoredOutcome refused(long retryAfterMicros, String detail) {
+    private static StoredOutcome refused(long retryAfterMicros, String detail, boolean mayHaveRun) {
         return new StoredOutcome(StoredOutcome.OutcomeKind.REJECTED, retryAfterMicros,
-                problem("refused", 503, detail, "\"outcome\":\"refused\","
-                        + "\"ran\":\"never\",\"retry_after_ms\":" + retryAfterMicros / 1000));
+                problem("refused", 503, detail, "\"outcome\":\"refused\"," + ranMember(mayHaveRun)
+                        + ",\"retry_after_ms\":" + retryAfterMicros / 1000));
+    }
+
+    private static String ranMember(boolean mayHaveRun) {
+        return "\"ran\":\"" + (mayHaveRun ? "maybe" : "never") + "\"";
     }
 
     private static StoredOutcome failed(boolean mayHaveRun, String detail) {
@@ -252,7 +258,7 @@
                         : StoredOutcome.OutcomeKind.FAILED_NEVER_RAN,
                 0,
                 problem("failed",
-                        502, detail, "\"outcome\":\"failed\",\"ran\":\"" + (mayHaveRun ? "maybe" : "never") + "\""));
+                        502, detail, "\"outcome\":\"failed\"," + ranMember(mayHaveRun)));
     }
 
     /** Encodes a problem (RFC 9457); {@code members} is JSON of further members, or empty. */
--- a/src/test/java/wallmoor/net/EdgeTest.java
+++ b/src/test/java/wallmoor/net/EdgeTest.java
@@ -104,6 +104,15 @@
         assertEquals(200, put(id(), body("all", "q", 0)).statusCode());
     }
 
+    /** Guards against "never" for a query that may be repeated and was rejected after workers failed its parts. */
+    @Test
+    public void reportsThatRejectedQueryMayHaveRun() throws Exception {
+        start(id -> "err");
+        var rejected = put(id(), body("all", "q", 0));
+        assertEquals(text(rejected), 503, rejected.statusCode());
+        assertTrue(text(rejected), text(rejected).contains("\"outcome\":\"refused\",\"ran\":\"maybe\""));
+    }
+
     /** Changes the configuration file and has the program read it again. */
     private void reload(String from, String to) throws Exception {
         String config = Files.readString(program.file);
