Mend three faults of the maintenance order that random tests found

Causes: a machine drained on although no holder of a block served any more; a request that was decided on twice in one version went from out to planned; a cycle of precedences was admitted while no plan existed for the requests before it. Fixes: such a machine is held, and serves again; a request whose machine was out is decided on once; a cycle is looked for before queued requests are left out. The search for cycles moves from ScheduleConflictFinder to PrecedenceGraph, which both use now. The three faults are in one commit, as one search showed them and each is a line or two.

--- a/src/main/java/wallmoor/maintenance/MaintenanceStateMachine.java
+++ b/src/main/java/wallmoor/maintenance/MaintenanceStateMachine.java
@@ -187,8 +187,14 @@
         return ledger.violations(indexById.get(id));
     }
 
-    /** Returns the next status of a draining machine: out of service if it is idle and no constraint is violated. */
+    /**
+     * Returns the next status of a draining machine: out of service if it is idle and no constraint is violated, and
+     * held if a block has no other holder that serves now.
+     */
     private RequestStatus afterDrainCheck(RequestStatus status, Machine machine, List<MaintenanceConstraint> violated) {
+        if (violated.stream().anyMatch(constraint -> constraint.rule() == MaintenanceRule.COVER)) {
+            return status.withStage(MaintenanceStage.HELD, now, violated);
+        }
         List<String> busy = DrainCompletion.drainBlockers(machine, fleet, budgets);
         if (!busy.isEmpty()) {
             boolean timedOut = age(status) >= budgets.drainTimeoutMillis();
@@ -230,7 +236,7 @@
         var queue = new AdmissionQueue(ledger);
         var precedence = PrecedenceGraph.of(admitted.inOrder());
         for (RequestStatus status : admitted.inOrder()) {
-            if (!status.stage().isQueued() || wasDraining(status)) {
+            if (!status.stage().isQueued() || wasOut(status)) {
                 continue; // a request held by this version is considered again in the next one
             }
             List<MaintenanceConstraint> holdReasons = holdReasons(status, withoutOrder, precedence);
@@ -259,9 +265,9 @@
         return ledger;
     }
 
-    private boolean wasDraining(RequestStatus status) {
+    private boolean wasOut(RequestStatus status) {
         RequestStatus previous = active.requests().get(status.request().id());
-        return previous != null && previous.stage() == MaintenanceStage.DRAINING;
+        return previous != null && previous.stage().isOut();
     }
 
     /**
--- a/src/main/java/wallmoor/maintenance/PrecedenceGraph.java
+++ b/src/main/java/wallmoor/maintenance/PrecedenceGraph.java
@@ -1,6 +1,8 @@
 package wallmoor.maintenance;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -73,6 +75,38 @@
         return predecessorsAt(request, BLOCKED_STAGES);
     }
 
+    /**
+     * Returns the shortest cycle from a machine along predecessors that have not ended, by breadth-first search; empty
+     * if there is none.
+     */
+    List<String> cycleThrough(String machine) {
+        List<List<String>> paths = new ArrayList<>(List.of(List.of(machine)));
+        Set<String> seen = new HashSet<>();
+        for (int i = 0; i < paths.size(); i++) {
+            List<String> path = paths.get(i);
+            for (String predecessor : predecessors(path.get(path.size() - 1))) {
+                if (predecessor.equals(machine)) {
+                    return path;
+                }
+                if (!statusByMachine.get(predecessor).stage().isFinal() && seen.add(predecessor)) {
+                    List<String> longer = new ArrayList<>(path);
+                    longer.add(predecessor);
+                    paths.add(longer);
+                }
+            }
+        }
+        return List.of();
+    }
+
+    /** Returns the precedences of a cycle, each between a machine and its predecessor in the cycle. */
+    static List<MaintenanceConstraint> constraints(List<String> cycle) {
+        var constraints = new ArrayList<MaintenanceConstraint>();
+        for (int i = 0; i < cycle.size(); i++) {
+            constraints.add(MaintenanceConstraint.precedence(cycle.get((i + 1) % cycle.size()), cycle.get(i)));
+        }
+        return constraints;
+    }
+
     private List<String> predecessorsAt(MaintenanceRequest request, Set<MaintenanceStage> stages) {
         return predecessors(request.machine()).stream()
                 .filter(m -> stages.contains(statusByMachine.get(m).stage())).toList();
--- a/src/main/java/wallmoor/maintenance/RequestAdmission.java
+++ b/src/main/java/wallmoor/maintenance/RequestAdmission.java
@@ -62,19 +62,34 @@
     private MaintenanceState admitOrRefuse(MaintenanceState state, RequestStatus submitted) {
         List<RequestStatus> all = new ArrayList<>(decidedRequests(state));
         if (MaintenancePlanner.planRemaining(now, all, fleet, budgets) instanceof SchedulingResult.Infeasible) {
+            List<String> cycle = cycleWith(all, submitted);
+            if (!cycle.isEmpty()) {
+                return refused(state, submitted, PrecedenceGraph.constraints(cycle));
+            }
             all.removeIf(s -> s.stage().isQueued());
         }
         all.add(submitted);
         SchedulingResult result = MaintenancePlanner.planRemaining(now, all, fleet, budgets);
         if (result instanceof SchedulingResult.Infeasible infeasible) {
-            SortedMap<String, RequestStatus> next = new TreeMap<>(state.requests());
-            next.put(submitted.request().id(),
-                    submitted.withStage(MaintenanceStage.REFUSED, now, infeasible.conflict()));
-            return state.withRequests(next);
+            return refused(state, submitted, infeasible.conflict());
         }
         return withAdmitted(state, List.of(submitted), result);
     }
 
+    /** Returns the cycle that a submitted request closes with those decided before; empty if there is none. */
+    private static List<String> cycleWith(List<RequestStatus> decided, RequestStatus submitted) {
+        List<RequestStatus> all = new ArrayList<>(decided);
+        all.add(submitted);
+        return PrecedenceGraph.of(all).cycleThrough(submitted.request().machine());
+    }
+
+    private MaintenanceState refused(MaintenanceState state, RequestStatus submitted,
+            List<MaintenanceConstraint> reasons) {
+        SortedMap<String, RequestStatus> next = new TreeMap<>(state.requests());
+        next.put(submitted.request().id(), submitted.withStage(MaintenanceStage.REFUSED, now, reasons));
+        return state.withRequests(next);
+    }
+
     private MaintenanceState withAdmitted(MaintenanceState state, List<RequestStatus> submitted,
             SchedulingResult result) {
         SortedMap<String, RequestStatus> next = new TreeMap<>(state.requests());
--- a/src/main/java/wallmoor/maintenance/ScheduleConflictFinder.java
+++ b/src/main/java/wallmoor/maintenance/ScheduleConflictFinder.java
@@ -192,8 +192,8 @@
     private Conflict shortestCycle() {
         List<String> best = null;
         for (Job job : problem.jobs) {
-            List<String> cycle = cycleThrough(job.request().machine());
-            if (cycle != null && (best == null || cycle.size() < best.size())) {
+            List<String> cycle = problem.precedence.cycleThrough(job.request().machine());
+            if (!cycle.isEmpty() && (best == null || cycle.size() < best.size())) {
                 best = cycle;
             }
             if (problem.jobs.size() > MAX_SINGLE_JOBS && best != null) {
@@ -203,33 +203,7 @@
         if (best == null) {
             return null;
         }
-        var constraints = new ArrayList<MaintenanceConstraint>();
-        for (int i = 0; i < best.size(); i++) {
-            constraints.add(MaintenanceConstraint.precedence(best.get((i + 1) % best.size()), best.get(i)));
-        }
-        return new Conflict(constraints, true, true);
-    }
-
-    /**
-     * Returns the shortest cycle from a machine along its predecessors, by breadth-first search; null if there is none.
-     */
-    private List<String> cycleThrough(String machine) {
-        List<List<String>> paths = new ArrayList<>(List.of(List.of(machine)));
-        Set<String> seen = new HashSet<>();
-        for (int i = 0; i < paths.size(); i++) {
-            List<String> path = paths.get(i);
-            for (String predecessor : problem.precedence.predecessors(path.get(path.size() - 1))) {
-                if (predecessor.equals(machine)) {
-                    return path;
-                }
-                if (seen.add(predecessor)) {
-                    List<String> longer = new ArrayList<>(path);
-                    longer.add(predecessor);
-                    paths.add(longer);
-                }
-            }
-        }
-        return null;
+        return new Conflict(PrecedenceGraph.constraints(best), true, true);
     }
 
     /** Returns the missed deadlines and the budgets, as the likely conflict where nothing is proven. */
--- a/src/test/java/wallmoor/maintenance/MaintenanceSimulationTest.java
+++ b/src/test/java/wallmoor/maintenance/MaintenanceSimulationTest.java
@@ -53,6 +53,24 @@
         keepsAllRulesUnderRandomFaultsAndSettles(38955);
     }
 
+    /** Guards against two draining holders of a block, whose third one crashes: none may then be kept out. */
+    @Example
+    void holdsDrainsWhenNoHolderOfABlockServes() {
+        keepsAllRulesUnderRandomFaultsAndSettles(567451141);
+    }
+
+    /** Guards against a machine that somebody put into service, and which was decided on twice in one version. */
+    @Example
+    void holdsRequestOfMachinePutIntoServiceBySomebody() {
+        keepsAllRulesUnderRandomFaultsAndSettles(270190769);
+    }
+
+    /** Guards against a cycle of precedences that is admitted while no plan exists for the requests admitted before. */
+    @Example
+    void refusesCycleOfPrecedencesAlsoWithoutAPlan() {
+        keepsAllRulesUnderRandomFaultsAndSettles(95780710);
+    }
+
     private static void injectFault(MaintenanceSimulation simulation, Random random, List<Machine> machines,
             Budgets normalBudgets) {
         String machineId = machines.get(random.nextInt(machines.size())).id();
