Pass changed settings to the front for features

What callers saw: after SIGHUP had made a collection's class single_shot, a part that may have run was resent; agreed limits had no effect at this front. Cause: it has a gatherer of its own, which kept the settings of the start. Fix: EffectiveSettings passes each change to both gatherers, to this one without the quota of the platform's queries. The test that only the service updates a gatherer now names the one further call, and demands that only the service makes the front do it.

--- a/src/main/java/wallmoor/ogc/FeatureQueryRunner.java
+++ b/src/main/java/wallmoor/ogc/FeatureQueryRunner.java
@@ -20,7 +20,7 @@
     /** The time reserved before the client's deadline to send the response, also on a busy machine. */
     private static final long RESPONSE_RESERVE_MICROS = 10_000;
 
-    private final RoutingSettings settings;
+    private volatile RoutingSettings settings;
     private final MonotonicClock clock;
     private final Gatherer gatherer;
     private final FeatureServerTransport transport;
@@ -36,6 +36,11 @@
         this.memory = memory;
     }
 
+    /** Changes the settings; called after the gatherer has them, as a query that finds them here finds them there. */
+    void updateSettings(RoutingSettings next) {
+        settings = next;
+    }
+
     /** Limits the deadlines of all queries, and rejects those that wait: the program ends in so many milliseconds. */
     void shutDown(long millis) {
         memory.shutDown();
--- a/src/main/java/wallmoor/ogc/FeaturesFront.java
+++ b/src/main/java/wallmoor/ogc/FeaturesFront.java
@@ -11,6 +11,7 @@
 import wallmoor.core.Gatherer;
 import wallmoor.core.MonotonicClock;
 import wallmoor.decision.RoutingSettings;
+import wallmoor.decision.ShardLayout;
 import wallmoor.endpoints.RegistryPolicy;
 import wallmoor.endpoints.SourcePolicy;
 import wallmoor.http.Server;
@@ -34,6 +35,7 @@
     /** One in this many of the process's sockets is for clients, and as many threads handle their requests. */
     private static final int CLIENT_SOCKETS_DIVISOR = 16;
 
+    private final ShardLayout layout;
     private final Gatherer gatherer;
     private final EndpointUpdater endpointUpdater;
     private final FeatureQueryRunner queries;
@@ -53,7 +55,8 @@
      */
     public FeaturesFront(OgcConfig config, SummariesConfig summaries, RuleReader rules, LaunchConfig launch,
             MonotonicClock clock) throws IOException {
-        RoutingSettings settings = launch.settings().withLayout(config.layout());
+        layout = config.layout();
+        RoutingSettings settings = launch.settings().withLayout(layout);
         gatherer = new Gatherer(settings, launch.seed(), clock, LOG);
         var transport = new FeatureServerTransport(gatherer, launch.connectMillis(),
                 launch.sockets() / FETCH_SOCKETS_DIVISOR);
@@ -104,6 +107,20 @@
         }
     }
 
+    /**
+     * Changes the settings of queries that are opened from now on. The collections and their layout stay the same.
+     *
+     * @param next           the settings, with the layout of the calendar nodes
+     * @param classNames     the names of the query classes, by index
+     * @param removedClasses the indexes of classes that are no longer in force
+     * @throws IllegalArgumentException if the settings contradict themselves; then nothing has changed
+     */
+    public void updateSettings(RoutingSettings next, List<String> classNames, Set<Integer> removedClasses) {
+        RoutingSettings changed = next.withLayout(layout);
+        gatherer.control().updateSettings(changed, classNames, removedClasses);
+        queries.updateSettings(changed);
+    }
+
     /**
      * Applies a reloaded operators' file: its sites may be pruned from now on. Other changes need a restart.
      *
--- a/src/main/java/wallmoor/service/EffectiveSettings.java
+++ b/src/main/java/wallmoor/service/EffectiveSettings.java
@@ -16,7 +16,8 @@
 /**
  * The settings in effect: those of the configuration file, lowered by the agreed rule and by this process's quota of
  * the limits that all processes of the gatherer share. Each of the three changes independently. Only this class updates
- * the gatherer, with complete settings and under one lock, so that the settings never permit more than all three allow.
+ * the gatherers, with complete settings and under one lock, so that the settings never permit more than all three
+ * allow.
  */
 final class EffectiveSettings {
     private static final Logger LOG = LoggerFactory.getLogger(EffectiveSettings.class);
@@ -37,6 +38,7 @@
     }
 
     private final SettingsListener listener;
+    private final SettingsListener featuresFront;
     private final Supplier<EffectiveRule> agreedRule;
     /** Written under the lock, read by every query. */
     private volatile LaunchConfig launch;
@@ -47,13 +49,17 @@
     /**
      * Creates the settings; the listener is first called at the first change.
      *
-     * @param initial    the configuration that the listener was created with
-     * @param agreedRule the rule {@code settings} in effect, read at each change
+     * @param initial       the configuration that the listeners were created with
+     * @param listener      the gatherer of the platform's front and the edge, to which the process's quota applies
+     * @param featuresFront the front for features, whose queries the quota does not count
+     * @param agreedRule    the rule {@code settings} in effect, read at each change
      */
-    EffectiveSettings(LaunchConfig initial, SettingsListener listener, Supplier<EffectiveRule> agreedRule) {
+    EffectiveSettings(LaunchConfig initial, SettingsListener listener, SettingsListener featuresFront,
+            Supplier<EffectiveRule> agreedRule) {
         launch = initial;
         limits = initial.settings().limits();
         this.listener = listener;
+        this.featuresFront = featuresFront;
         this.agreedRule = agreedRule;
     }
 
@@ -98,6 +104,7 @@
         RoutingSettings all = AgreedLimits.lower(config.settings(), agreedRule.get());
         RoutingSettings own = AgreedLimits.withMaxOpen(all, quota.of(all.limits().maxInFlight()));
         listener.onSettingsChanged(own, config.classes(), config.removedClasses());
+        featuresFront.onSettingsChanged(all, config.classes(), config.removedClasses());
         if (!all.limits().equals(limits)) {
             limits = all.limits();
             LOG.info(STATE, "limits in force: open {}, attempts {}", limits.maxInFlight(), limits.maxAttempts());
--- a/src/main/java/wallmoor/service/Service.java
+++ b/src/main/java/wallmoor/service/Service.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -77,7 +79,7 @@
                 : new RulesService(operator.rules(), launch, this::onAgreedRuleChanged);
         RuleReader ruleReader = rules == null ? RuleReader.NONE : rules.reader();
         effectiveSettings = new EffectiveSettings(launch, nodes.gatherer().control()::updateSettings,
-                () -> ruleReader.effectiveRule("settings"));
+                this::updateFeaturesFront, () -> ruleReader.effectiveRule("settings"));
         Logger platformLog = LoggerFactory.getLogger(PlatformFront.class);
         platform = acceptor == null
                 ? new PlatformFront(launch, effectiveSettings::launch, clock, nodes.gatherer(), nodes.workers(),
@@ -235,6 +237,12 @@
         }
     }
 
+    private void updateFeaturesFront(RoutingSettings next, List<String> classes, Set<Integer> removedClasses) {
+        if (features != null) {
+            features.updateSettings(next, classes, removedClasses);
+        }
+    }
+
     /** Applies a changed agreed rule, which may lower the limits of the configuration file. */
     private void onAgreedRuleChanged() {
         effectiveSettings.onAgreedRuleChanged();
--- a/src/test/java/wallmoor/net/FeaturesTest.java
+++ b/src/test/java/wallmoor/net/FeaturesTest.java
@@ -225,6 +225,21 @@
         assertTrue(one.count("/") > 0 && other.count("/") > 0);
     }
 
+    /** Guards against a part that runs twice because this front keeps the class of its start. */
+    @Test
+    public void doesNotRepeatPartOnceAReloadForbidsIt() throws Exception {
+        var broken = server(t -> "!");
+        var alsoBroken = server(t -> "!");
+        start(inventoryOf(broken, "cell: 0", alsoBroken, "cell: 0", server(pages("b", 1)), "cell: 1"));
+        get("/collections/holders/items");
+        long before = broken.count("/") + alsoBroken.count("/");
+        assertTrue("attempts of a part that may be repeated: " + before, before > 1);
+        program.reload(0, Files.readString(program.file).replace("\"Repeat\":\"free\"", "\"Repeat\":\"single_shot\""));
+        Program.await("read again", () -> program.log.stream().anyMatch(l -> l.contains("configuration read again")));
+        get("/collections/holders/items");
+        assertEquals(before + 1, broken.count("/") + alsoBroken.count("/"));
+    }
+
     @Test
     public void answersThroughAnotherServerWhenOneNeverReplies() throws Exception {
         var stuck = new AtomicBoolean();
--- a/src/test/java/wallmoor/service/EffectiveSettingsTest.java
+++ b/src/test/java/wallmoor/service/EffectiveSettingsTest.java
@@ -1,7 +1,6 @@
 package wallmoor.service;
 
 import static org.junit.Assert.assertEquals;
-import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertThrows;
 import static org.junit.Assert.assertTrue;
 
@@ -13,6 +12,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.regex.Pattern;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -33,6 +33,7 @@
 
     private EffectiveRule agreed = new EffectiveRule(EffectiveRule.Basis.NONE, 0, 0, RuleBody.EMPTY);
     private final List<PlatformLimits> published = new ArrayList<>();
+    private final List<PlatformLimits> publishedToFeaturesFront = new ArrayList<>();
     private EffectiveSettings effectiveSettings = create();
 
     private EffectiveSettings create() {
@@ -41,7 +42,18 @@
                 throw new IllegalArgumentException("no class");
             }
             published.add(settings.limits());
-        }, () -> agreed);
+        }, (settings, classes, vanished) -> publishedToFeaturesFront.add(settings.limits()), () -> agreed);
+    }
+
+    /** Guards against a front that keeps the limits of its start, or the quota of another front's queries. */
+    @Example
+    void lowersLimitsOfFeaturesFrontByAgreedRuleButNotByQuota() {
+        agreed = agreedRule(100, 2);
+        effectiveSettings.onAgreedRuleChanged();
+        effectiveSettings.onProcessQuotaChanged(10, 100);
+        assertEquals(List.of(100, 100), publishedToFeaturesFront.stream().map(PlatformLimits::maxInFlight).toList());
+        assertEquals(2, publishedToFeaturesFront.get(1).maxAttempts());
+        assertEquals(10, published.get(1).maxInFlight());
     }
 
     private static LaunchConfig launch(int open, int attempts) {
@@ -125,11 +137,11 @@
             assertTrue(all.size() > 100);
             for (Path file : all) {
                 String text = Files.readString(file);
-                if (!file.endsWith("service/Service.java")) {
-                    assertFalse(file.toString(), call.matcher(text).find());
-                } else {
-                    assertEquals(1, call.matcher(text).results().count());
-                }
+                // the front for features has a gatherer of its own, and is updated by the service alone
+                boolean mayCall = file.endsWith("service/Service.java") || file.endsWith("ogc/FeaturesFront.java");
+                assertEquals(file.toString(), mayCall ? 1 : 0, call.matcher(text).results().count());
+                boolean updatesFront = Pattern.compile("features(\\.|::)updateSettings\\b").matcher(text).find();
+                assertEquals(file.toString(), file.endsWith("service/Service.java"), updatesFront);
             }
         }
     }
