--- a/src/main/java/wallmoor/decision/TuningParameters.java
+++ b/src/main/java/wallmoor/decision/TuningParameters.java
@@ -119,7 +119,7 @@
 
     /** Minimum remaining time of a query, in latencies, for which a further attempt is useful. */
     static final double MIN_LATENCIES_LEFT = 0.5;
-    /** A sum of part weights, which are rounded on the wire, may fall short by 0.0001; the rest is for binary fractions. */
+    /** Sums of part weights, rounded on the wire, may fall 0.0001 short; the rest is for binary fractions. */
     static final double WEIGHT_TOLERANCE = 1e-4 + 1e-9;
 
     // ---- poison queries ----
