--- a/review/standin2/BodyBurst.java
+++ b/review/standin2/BodyBurst.java
@@ -36,7 +36,7 @@
         Process gatherer = site.gatherer("g1", config, null);
         site.awaitReady(port);
         Thread.sleep(1000);
-        var usual = new UsualClients(site, port, nodes);
+        var usual = new UsualClients(site, port, nodes, true);
         Thread.sleep(BEFORE_MILLIS);
         var bad = new ConcurrentSkipListMap<String, Integer>();
         usual.troubled = true;
--- a/review/standin2/FeatureTwice.java
+++ b/review/standin2/FeatureTwice.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /**
- * Case 8: one feature is asked for at the front for features, in a class whose parts must not run twice, and the feature
+ * Case 9: one feature is asked for at the front for features, in a class whose parts must not run twice, and the feature
  * server that is asked first takes the request and never replies.
  */
 public final class FeatureTwice {
--- a/review/standin2/GroupDrain.java
+++ b/review/standin2/GroupDrain.java
@@ -3,7 +3,7 @@
 import java.nio.file.Path;
 
 /**
- * Case 9: the inventory's file is rewritten while queries run: it has one more group, whose state is draining, with one
+ * Case 10: the inventory's file is rewritten while queries run: it has one more group, whose state is draining, with one
  * feature server.
  */
 public final class GroupDrain {
--- a/review/standin2/UsualClients.java
+++ b/review/standin2/UsualClients.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.atomic.LongAdder;
 
 /**
- * Sound clients of the platform's front: each sends one request after another on a connection that it keeps, and opens
- * another one after a failure. A request is lost if it was written completely and has no answer within its time and
+ * Sound clients of the platform's front: each sends one request after another, on a connection that it keeps or on a new
+ * one each time, and opens another one after a failure. A request is lost if it was written completely and has no answer within its time and
  * half a second, or if its connection ends without one although a node has run a part of it.
  */
 final class UsualClients {
@@ -30,10 +30,12 @@
     private final int port;
     private final Nodes nodes;
     private final List<Thread> threads = new ArrayList<>();
+    private final boolean keepsConnections;
     private volatile boolean ended;
 
-    UsualClients(Site site, int port, Nodes nodes) {
+    UsualClients(Site site, int port, Nodes nodes, boolean keepsConnections) {
         this.site = site;
+        this.keepsConnections = keepsConnections;
         this.port = port;
         this.nodes = nodes;
         for (int c = 0; c < CLIENTS; c++) {
@@ -72,7 +74,7 @@
             }
             site.note(id + ": " + result);
             results.merge(result, 1, Integer::sum);
-            if (!result.startsWith("status ")) {
+            if (!keepsConnections || !result.startsWith("status ")) {
                 close(socket);
                 socket = null;
             }
