Look up a feature by one query, so that no single-shot part runs twice

Callers saw: a look-up of one feature in a single_shot class ran a part at two servers when the first one did not reply, or when a spare part had been cancelled. Cause: FeatureHandler opened a new query for the shards without an answer. To the policy its parts were new, so neither the effect of the class nor the limit of attempts held. Change: one query that needs every part (QueryRequest.decidingValue, QueryArrived.needsEveryPart) and ends at once when a part returns the feature. A part keeps its identity, so the policy's rules for resends apply to the whole request. On the program before, FeaturesTest.looksUpFeatureWithoutRepeatingPartThatMayHaveRun fails: 'expected:<504> but was:<404>'. Classes run: FeaturesTest, FeatureBurstTest, PruneTest, QueryCompletionTest, RoutingPolicyTest, AdmissionControlTest, GathererTest: passed.

--- a/src/main/java/wallmoor/adapter/EventReader.java
+++ b/src/main/java/wallmoor/adapter/EventReader.java
@@ -90,7 +90,7 @@
         }
         if (isQuery) {
             policy.onQueryArrived(now, new QueryArrived(id, number, queryClass, tenant, key, deadline, hint,
-                    (int) shareOrCount, (attributes & RETRY_BIT) != 0, WORKERS_RECOGNISE_REPEATS));
+                    (int) shareOrCount, (attributes & RETRY_BIT) != 0, WORKERS_RECOGNISE_REPEATS, false));
         } else {
             policy.onPartArrived(now, new PartArrived(id, number, shard, shareOrCount, hint));
         }
--- a/src/main/java/wallmoor/core/AttemptLifecycle.java
+++ b/src/main/java/wallmoor/core/AttemptLifecycle.java
@@ -115,6 +115,9 @@
         query.attemptMayHaveRun |= !outcome.endReason.neverRan;
         if (outcome == AttemptOutcome.SERVED && !finished) {
             attempt.part.value = value;
+            if (query.isDecidedBy(value)) {
+                driver.policy().onQueryDecided(round.now(), query.id);
+            }
         }
         if (finished) {
             requests.removePartsUnlessInFlight(query);
--- a/src/main/java/wallmoor/core/Gatherer.java
+++ b/src/main/java/wallmoor/core/Gatherer.java
@@ -114,7 +114,8 @@
         RoutingPolicy policy = driver.policy();
         List<Query.PartRequest> parts = request.parts();
         policy.onQueryArrived(driver.now(), new QueryArrived(request.id(), number, request.queryClass(), 0, null,
-                query.deadline(), Absent.VALUE, parts.size(), request.retry(), request.idempotencyKey() != null));
+                query.deadline(), Absent.VALUE, parts.size(), request.retry(), request.idempotencyKey() != null,
+                request.decidingValue() != null));
         for (int i = 0; i < parts.size(); i++) {
             Query.PartRequest part = parts.get(i);
             policy.onPartArrived(driver.now(), new PartArrived(query.parts.get(i).id, number, part.shard(),
--- a/src/main/java/wallmoor/core/Query.java
+++ b/src/main/java/wallmoor/core/Query.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.locks.Condition;
+import java.util.function.Predicate;
 
 /**
  * A query that the gatherer has opened, with the pending steps for its thread. Guarded by the gatherer's lock, except
@@ -46,6 +47,8 @@
     /** The key by which workers recognise a repeat of the query's parts; null for none. */
     private final String idempotencyKey;
     final Object attachment;
+    /** Whether a part's value alone is enough; null if the query's class tells which share of the parts is. */
+    private final Predicate<byte[]> decidingValue;
     final List<QueryPart> parts = new ArrayList<>();
     final List<Attempt> inFlight = new ArrayList<>();
     /** Bounded by the number of parts and the maximum number of attempts for each. */
@@ -72,6 +75,7 @@
         this.deadline = Math.min(request.deadline(), latestDeadline);
         this.idempotencyKey = request.idempotencyKey();
         this.attachment = request.attachment();
+        this.decidingValue = request.decidingValue();
         this.stepAvailable = stepAvailable;
         for (PartRequest part : request.parts()) {
             parts.add(new QueryPart(OpenRequests.partId(id, part.shard()), part.shard()));
@@ -124,6 +128,11 @@
         return null;
     }
 
+    /** Returns whether this value of a part alone is enough to answer the query. */
+    boolean isDecidedBy(byte[] value) {
+        return decidingValue != null && decidingValue.test(value);
+    }
+
     /** Returns the values of the parts that were served, in the order in which the parts were requested. */
     List<Step.PartValue> receivedValues() {
         var values = new ArrayList<Step.PartValue>();
--- a/src/main/java/wallmoor/core/QueryRequest.java
+++ b/src/main/java/wallmoor/core/QueryRequest.java
@@ -1,6 +1,7 @@
 package wallmoor.core;
 
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * A client's request to open a query.
@@ -13,6 +14,16 @@
  *                       null for none
  * @param parts          the requested parts
  * @param attachment     data of the front for its transport, see {@link Query#attachment}
+ * @param decidingValue  for a query that needs the values of all its parts, whatever share is enough for its class:
+ *                       whether a part's value alone is enough. It is called with the gatherer's lock held. Null for a
+ *                       query whose class tells which share of the parts is enough
  */
 public record QueryRequest(String id, int queryClass, long deadline, boolean retry, String idempotencyKey,
-        List<Query.PartRequest> parts, Object attachment) {}
+        List<Query.PartRequest> parts, Object attachment, Predicate<byte[]> decidingValue) {
+
+    /** Creates a request for a query whose class tells which share of the parts is enough. */
+    public QueryRequest(String id, int queryClass, long deadline, boolean retry, String idempotencyKey,
+            List<Query.PartRequest> parts, Object attachment) {
+        this(id, queryClass, deadline, retry, idempotencyKey, parts, attachment, null);
+    }
+}
--- a/src/main/java/wallmoor/decision/AdmissionControl.java
+++ b/src/main/java/wallmoor/decision/AdmissionControl.java
@@ -51,7 +51,7 @@
     /** Returns whether a query may start, and stores in the query the expected time of its parts. */
     boolean admits(TrackedQuery query) {
         List<TrackedPart> ranked = selector.ranked(query.parts);
-        int needed = query.partsNeeded(ranked);
+        int needed = query.partsNeededByClass(ranked);
         double meanPartTime = 0;
         for (TrackedPart part : ranked.subList(0, needed)) {
             TrackedWorker worker = selector.choose(part);
--- a/src/main/java/wallmoor/decision/QueryArrived.java
+++ b/src/main/java/wallmoor/decision/QueryArrived.java
@@ -13,6 +13,9 @@
  * @param partCount          the number of parts of its first phase
  * @param retry              whether the client marks the query as a retry
  * @param withIdempotencyKey whether its parts carry a key by which workers recognise a repeat
+ * @param needsEveryPart     whether every part has to be answered, whatever share is enough for its class, unless
+ *                           {@link RoutingPolicy#onQueryDecided} tells that the answered parts are enough
  */
 public record QueryArrived(String id, long number, int queryClass, int tenant, String key, long deadline,
-        long workHint, int partCount, boolean retry, boolean withIdempotencyKey) {}
+        long workHint, int partCount, boolean retry, boolean withIdempotencyKey,
+        boolean needsEveryPart) {}
--- a/src/main/java/wallmoor/decision/QueryCompletion.java
+++ b/src/main/java/wallmoor/decision/QueryCompletion.java
@@ -31,7 +31,7 @@
             return false;
         }
         double answered = query.answeredWeight();
-        if (answered >= query.queryClass.minimumShare() - TuningParameters.WEIGHT_TOLERANCE
+        if ((query.decided || answered >= query.minimumShare() - TuningParameters.WEIGHT_TOLERANCE)
                 && (query.phase == 2 || query.queryClass.followUpParts() == 0)) {
             answer(query, query.phase == 1
                     && answered >= query.completeShare() - TuningParameters.WEIGHT_TOLERANCE);
--- a/src/main/java/wallmoor/decision/QueryReplenisher.java
+++ b/src/main/java/wallmoor/decision/QueryReplenisher.java
@@ -58,9 +58,22 @@
                 weight += part.weight;
             }
         }
-        boolean isUnattainable = attainableWeight(query) < query.queryClass.minimumShare()
-                - TuningParameters.WEIGHT_TOLERANCE;
-        return !isUnattainable;
+        return query.arrival.needsEveryPart() ? mayAnswerFurtherPart(query)
+                : attainableWeight(query) >= query.minimumShare() - TuningParameters.WEIGHT_TOLERANCE;
+    }
+
+    /**
+     * Returns whether any unanswered part may still be answered. A query that needs every part goes on while this is
+     * so, as each further result may decide it, although another part can no longer be answered.
+     */
+    private boolean mayAnswerFurtherPart(TrackedQuery query) {
+        for (TrackedPart part : query.parts) {
+            boolean inFlight = !part.finished && !part.inFlight.isEmpty();
+            if (!part.answered && (inFlight || (retryPolicy.mayAttempt(part) && selector.choose(part) != null))) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /**
--- a/src/main/java/wallmoor/decision/RoutingPolicy.java
+++ b/src/main/java/wallmoor/decision/RoutingPolicy.java
@@ -218,6 +218,19 @@
         }
     }
 
+    /**
+     * Handles that the parts answered so far decide a query: it is answered at the end of this round. The end of the
+     * attempt whose result decides it follows at the same time.
+     */
+    public void onQueryDecided(long at, String id) {
+        advance(at);
+        TrackedQuery query = requests.query(id);
+        if (query != null) {
+            query.decided = true;
+            queriesToDecide.add(query);
+        }
+    }
+
     /** Updates the worker's state at the end of an attempt, also if its part is already finished. */
     private void recordEnd(TrackedAttempt attempt, AttemptEnded end) {
         TrackedWorker worker = attempt.worker;
--- a/src/main/java/wallmoor/decision/TrackedQuery.java
+++ b/src/main/java/wallmoor/decision/TrackedQuery.java
@@ -32,6 +32,8 @@
     /** Whether the parts of the current phase have been sent. */
     boolean started;
     boolean firstPhaseComplete;
+    /** Whether the parts answered so far are enough, whatever their weight. */
+    boolean decided;
     /**
      * Whether a single part was sent as a canary and the others wait for its answer, because the query may be a poison
      * query.
@@ -58,7 +60,12 @@
 
     /** Returns the share of the current phase's weight that makes it complete. */
     double completeShare() {
-        return phase == 1 ? queryClass.completeShare() : 1;
+        return phase == 1 && !arrival.needsEveryPart() ? queryClass.completeShare() : 1;
+    }
+
+    /** Returns the share of the current phase's weight that makes an answer at the deadline. */
+    double minimumShare() {
+        return arrival.needsEveryPart() ? 1 : queryClass.minimumShare();
     }
 
     /** Returns the weight of the parts that have been answered. */
@@ -72,16 +79,31 @@
 
     /** Returns whether enough of the current phase has been answered. */
     boolean isPhaseComplete() {
+        if (decided) {
+            return true;
+        }
         return phase == 1 ? answeredWeight() >= completeShare() - TuningParameters.WEIGHT_TOLERANCE
                 : parts.stream().allMatch(p -> p.answered);
     }
 
     /** Returns how many of the parts, in this order, make a complete answer. */
     int partsNeeded(List<TrackedPart> ranked) {
+        return partsNeeded(ranked, completeShare());
+    }
+
+    /**
+     * Returns how many of the parts, in this order, make a complete answer of the query's class. A query that needs
+     * every part is admitted by that number, too: a part that has no worker now may have one before the deadline.
+     */
+    int partsNeededByClass(List<TrackedPart> ranked) {
+        return partsNeeded(ranked, queryClass.completeShare());
+    }
+
+    private int partsNeeded(List<TrackedPart> ranked, double share) {
         int needed = 0;
         double weight = 0;
         while (needed < ranked.size()
-                && (phase == 2 || weight < completeShare() - TuningParameters.WEIGHT_TOLERANCE)) {
+                && (phase == 2 || weight < share - TuningParameters.WEIGHT_TOLERANCE)) {
             weight += ranked.get(needed).weight;
             needed++;
         }
--- a/src/main/java/wallmoor/ogc/FeatureHandler.java
+++ b/src/main/java/wallmoor/ogc/FeatureHandler.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import wallmoor.config.OgcConfig.Collection;
@@ -20,7 +19,8 @@
 
 /**
  * Handles {@code /collections/ID/items/FEATURE}. The feature may be in any shard, so 404 is answered only once every
- * shard has reported that it lacks the feature. Shards that did not answer are queried again.
+ * shard has reported that it lacks the feature, and a feature is answered as soon as a shard has returned it. All of
+ * this is one query, so that what its class allows for a part holds for the whole request.
  */
 final class FeatureHandler {
     /** The estimated size of the links, for the initial buffer. */
@@ -74,24 +74,25 @@
 
     private Lookup lookUp(HttpExchange exchange, HttpMessage request, Collection collection, String escapedId,
             LinkList links) throws InterruptedException {
-        List<Integer> unansweredShards = new ArrayList<>(collection.shards());
-        while (!unansweredShards.isEmpty()) {
-            Step.FinalStep finalStep = queries.run(exchange, request, queries.nextId(), unansweredShards,
-                    new FeatureQuery(collection, "", escapedId, 1, Map.of(), queries.isIdempotent(collection)));
-            if (!(finalStep instanceof Step.Answer answer)) {
-                return new Lookup(finalStep, null);
-            }
-            for (Step.PartValue value : answer.values()) {
-                List<ByteSlice> features = FeatureQuery.ShardFeatures.decode(value).features();
-                if (!features.isEmpty()) {
-                    return new Lookup(null, withLinks(features.get(0), links));
-                }
-                unansweredShards.remove((Integer) value.shard());
+        Step.FinalStep finalStep = queries.runUntilDecided(exchange, request, queries.nextId(), collection.shards(),
+                new FeatureQuery(collection, "", escapedId, 1, Map.of(), queries.isIdempotent(collection)),
+                FeatureHandler::hasFeature);
+        if (!(finalStep instanceof Step.Answer answer)) {
+            return new Lookup(finalStep, null);
+        }
+        for (Step.PartValue value : answer.values()) {
+            List<ByteSlice> features = FeatureQuery.ShardFeatures.decode(value.bytes()).features();
+            if (!features.isEmpty()) {
+                return new Lookup(null, withLinks(features.get(0), links));
             }
         }
         return new Lookup(null, null);
     }
 
+    private static boolean hasFeature(byte[] partValue) {
+        return !FeatureQuery.ShardFeatures.decode(partValue).features().isEmpty();
+    }
+
     /** Returns the id with normalized percent-encoding. In a path, a plus sign doesn't stand for a space. */
     private static String normalizeEscapes(String pathSegment) throws HttpProtocolException {
         String decodedId = ItemsParameters.decode(pathSegment.replace("+", "%2B"));
--- a/src/main/java/wallmoor/ogc/FeatureQuery.java
+++ b/src/main/java/wallmoor/ogc/FeatureQuery.java
@@ -11,7 +11,6 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import wallmoor.config.OgcConfig;
-import wallmoor.core.Step;
 import wallmoor.http.ByteSlice;
 
 /**
@@ -75,8 +74,7 @@
         }
 
         /** Decodes what {@link #encode} wrote; the features are ranges of the value's bytes. */
-        static ShardFeatures decode(Step.PartValue value) {
-            byte[] encoded = value.bytes();
+        static ShardFeatures decode(byte[] encoded) {
             int position = 0;
             while (encoded[position] != '\n') {
                 position++;
--- a/src/main/java/wallmoor/ogc/FeatureQueryRunner.java
+++ b/src/main/java/wallmoor/ogc/FeatureQueryRunner.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 import wallmoor.config.OgcConfig.Collection;
 import wallmoor.core.Gatherer;
 import wallmoor.core.MonotonicClock;
@@ -88,13 +89,25 @@
      */
     Step.FinalStep run(HttpExchange exchange, HttpMessage request, String id, List<Integer> shards,
             FeatureQuery query) throws InterruptedException {
+        return runUntilDecided(exchange, request, id, shards, query, null);
+    }
+
+    /**
+     * Runs a query as {@link #run} does, but until all its shards have answered, whatever share is enough for its
+     * class.
+     *
+     * @param decidingValue whether a part's value alone is enough to end the query; null to run it as its class says
+     */
+    Step.FinalStep runUntilDecided(HttpExchange exchange, HttpMessage request, String id, List<Integer> shards,
+            FeatureQuery query, Predicate<byte[]> decidingValue) throws InterruptedException {
         int queryClass = query.collection().queryClass();
         long deadline = clock.fromNanoTime(request.firstByteAt()) + settings.classes().get(queryClass).clientTimeout()
                 - RESPONSE_RESERVE_MICROS;
         var parts = new ArrayList<Query.PartRequest>();
         shards.forEach(shard -> parts.add(new Query.PartRequest(shard, 1.0 / shards.size(), -1)));
         // requests to feature servers have no field for an idempotency key
-        Query openQuery = gatherer.open(new QueryRequest(id, queryClass, deadline, false, null, parts, query));
+        Query openQuery = gatherer.open(new QueryRequest(id, queryClass, deadline, false, null, parts, query,
+                decidingValue));
         exchange.whenClientDisconnects(() -> gatherer.clientDisconnected(openQuery));
         return gatherer.run(openQuery, transport);
     }
--- a/src/main/java/wallmoor/ogc/ItemsHandler.java
+++ b/src/main/java/wallmoor/ogc/ItemsHandler.java
@@ -124,7 +124,8 @@
             SummaryLeases.PruningDecision pruning, Step.FinalStep finalStep) {
         var results = new HashMap<Integer, FeatureQuery.ShardFeatures>();
         if (finalStep instanceof Step.Answer answer) {
-            answer.values().forEach(value -> results.put(value.shard(), FeatureQuery.ShardFeatures.decode(value)));
+            answer.values()
+                    .forEach(value -> results.put(value.shard(), FeatureQuery.ShardFeatures.decode(value.bytes())));
         }
         if (pruning != null) {
             directory.reportProbes(collection, pruning, results);
--- a/src/test/java/wallmoor/decision/PolicyHarness.java
+++ b/src/test/java/wallmoor/decision/PolicyHarness.java
@@ -121,20 +121,25 @@
         return query(0, timeLeft, true, true, shards);
     }
 
+    /** Sends a query that needs every part, whatever share is enough for its class. */
+    String queryOfEveryPart(int... shards) {
+        return query(0, 4_000_000, false, true, true, 1.0 / shards.length, shards);
+    }
+
     /** Sends a query whose parts have this weight each. */
     String queryWithWeight(double weight, int... shards) {
-        return query(0, 4_000_000, false, true, weight, shards);
+        return query(0, 4_000_000, false, true, false, weight, shards);
     }
 
     private String query(int queryClass, long timeLeft, boolean isRetry, boolean withKey, int... shards) {
-        return query(queryClass, timeLeft, isRetry, withKey, 1.0 / shards.length, shards);
+        return query(queryClass, timeLeft, isRetry, withKey, false, 1.0 / shards.length, shards);
     }
 
-    private String query(int queryClass, long timeLeft, boolean isRetry, boolean withKey, double weight,
-            int... shards) {
+    private String query(int queryClass, long timeLeft, boolean isRetry, boolean withKey, boolean everyPart,
+            double weight, int... shards) {
         String id = "q" + queries;
         policy.onQueryArrived(now, new QueryArrived(id, queries, queryClass, 0, null, now + timeLeft, Absent.VALUE,
-                shards.length, isRetry, withKey));
+                shards.length, isRetry, withKey, everyPart));
         for (int shard : shards) {
             policy.onPartArrived(now, new PartArrived(id + "/" + shard, queries, shard, weight, Absent.VALUE));
         }
--- a/src/test/java/wallmoor/decision/QueryCompletionTest.java
+++ b/src/test/java/wallmoor/decision/QueryCompletionTest.java
@@ -47,6 +47,32 @@
         assertTrue(harness.actions("answer").isEmpty());
     }
 
+    /** Guards against a look-up of one feature that ends at its class's share and then asks the other shards again. */
+    @Test
+    void sendsEveryPartOfQueryThatNeedsAllAndRepeatsNone() {
+        var site = new PolicyHarness.SiteSettings().withOnlyClass(new QueryClass(1, 0.3, 2_000_000, 0, 4_000_000,
+                Idempotency.NOT_IDEMPOTENT, 0, 0.6, 0.6, 0.9, 0));
+        var harness = new PolicyHarness(site).workers(12);
+        String queryId = harness.queryOfEveryPart(0, 2, 4);
+        assertEquals(3, harness.actions("startAttempt").size());
+        for (int i = 0; i < 2; i++) {
+            harness.endAttempt(queryId + "/" + 2 * i, 0, harness.workerOf(i), AttemptEndReason.OK, 10 * MS);
+        }
+        harness.endAttempt(queryId + "/4", 0, harness.workerOf(2), AttemptEndReason.RESET, 10 * MS);
+        assertEquals(List.of("fail " + queryId), harness.actions("fail"), "no part can be answered any more");
+        assertEquals(3, harness.actions("startAttempt").size(), "the third part may have run");
+    }
+
+    @Test
+    void answersQueryThatNeedsAllPartsOnceItIsDecided() {
+        var harness = new PolicyHarness(new PolicyHarness.SiteSettings()).workers(12);
+        String queryId = harness.queryOfEveryPart(0, 2, 4);
+        harness.policy.onQueryDecided(harness.now, queryId);
+        harness.endAttempt(queryId + "/2", 0, harness.workerOf(1), AttemptEndReason.OK, 10 * MS);
+        assertEquals(List.of("answer " + queryId + " true"), harness.actions("answer"));
+        assertEquals(2, harness.actions("cancelAttempt").size());
+    }
+
     /** Guards against a query that is never complete because its weights are rounded to four digits. */
     @Test
     void answersQueryWhoseWeightsAddUpTo9999() {
--- a/src/test/java/wallmoor/decision/RoutingPolicyTest.java
+++ b/src/test/java/wallmoor/decision/RoutingPolicyTest.java
@@ -36,7 +36,7 @@
     void toleratesUnknownIdsAndIndexes() {
         var harness = new PolicyHarness(new PolicyHarness.SiteSettings()).workers(12);
         harness.policy.onQueryArrived(harness.now,
-                new QueryArrived("odd", 900, 99, 99, null, harness.now + 2_000_000, 0, 1, false, true));
+                new QueryArrived("odd", 900, 99, 99, null, harness.now + 2_000_000, 0, 1, false, true, false));
         harness.policy.onPartArrived(harness.now, new PartArrived("odd/0", 900, 0, 1, 0));
         harness.policy.onPartArrived(harness.now, new PartArrived("stray", 901, 0, 1, 0));
         harness.policy.onRoundEnd(harness.now);
@@ -78,7 +78,7 @@
                 new PolicyHarness.SiteSettings().withOnlyClass(PolicyHarness.SiteSettings.someParts(0.6, 0.6)))
                 .workers(12);
         harness.policy.onQueryArrived(harness.now,
-                new QueryArrived("w", 77, 0, 0, null, harness.now + 4_000_000, -5, 3, false, true));
+                new QueryArrived("w", 77, 0, 0, null, harness.now + 4_000_000, -5, 3, false, true, false));
         for (int i = 0; i < 3; i++) {
             harness.policy.onPartArrived(harness.now, new PartArrived("w/" + i, 77, i * 3, i == 0 ? 1 : 0, -5));
         }
--- a/src/test/java/wallmoor/decision/SlowStartSimulation.java
+++ b/src/test/java/wallmoor/decision/SlowStartSimulation.java
@@ -313,7 +313,7 @@
             String id = "q" + position + "-" + incarnation + "-" + queryCount;
             policy.onQueryArrived(now,
                     new QueryArrived(id, queryCount, 0, 0, null, now + 4 * SECOND_MICROS, Absent.VALUE, scenario.parts,
-                            false, true));
+                            false, true, false));
             int firstShard = random.nextInt(settings.layout().shards());
             for (int i = 0; i < scenario.parts; i++) {
                 int shard = (firstShard + i) % settings.layout().shards();
--- a/src/test/java/wallmoor/net/FeaturesTest.java
+++ b/src/test/java/wallmoor/net/FeaturesTest.java
@@ -240,6 +240,28 @@
         assertEquals(before + 1, broken.count("/") + alsoBroken.count("/"));
     }
 
+    /** Guards against a look-up that runs a single-shot part twice: it asked shards again that had not answered. */
+    @Test
+    public void looksUpFeatureWithoutRepeatingPartThatMayHaveRun() throws Exception {
+        var stuck = new AtomicBoolean(true);
+        Function<String, String> good = pages("a", 2);
+        Function<String, String> firstHangs = t -> stuck.compareAndSet(true, false) ? null : good.apply(t);
+        var one = server(firstHangs);
+        var other = server(firstHangs);
+        var second = server(pages("b", 2));
+        start(inventoryOf(one, "cell: 0", other, "cell: 0", second, "cell: 1"));
+        program.reload(0, Files.readString(program.file).replace("\"Repeat\":\"free\"", "\"Repeat\":\"single_shot\""));
+        Program.await("read again", () -> program.log.stream().anyMatch(l -> l.contains("configuration read again")));
+        assertEquals("shard 0 may have the feature", 504, get("/collections/quotes/items/c-1").status);
+        assertEquals("half of the parts is enough for the class, but each part is sent once", 1,
+                one.count("/") + other.count("/"));
+        stuck.set(true);
+        long sent = System.nanoTime();
+        assertEquals("another shard has it", 200, get("/collections/quotes/items/b1-1").status);
+        assertTrue("at once", System.nanoTime() - sent < TimeUnit.MILLISECONDS.toNanos(1000));
+        assertEquals(404, get("/collections/quotes/items/c-1").status);
+    }
+
     @Test
     public void answersThroughAnotherServerWhenOneNeverReplies() throws Exception {
         var stuck = new AtomicBoolean();
