Read queries of clients as a stream, so that no body takes more than its bytes

Change: QueryBody reads with a cursor (JsonCursor, with which Json builds its trees too), skips what it does not need without storing it, and refuses the body at the first fault. Reading a body allocates at most twice its bytes, whatever it holds (QueryBodyTest). Passed: EdgeTest, EdgeCoapTest, PlatformTest, JsonTest, NumbersTest, LayersTest.

--- a/src/main/java/wallmoor/edge/EdgeRequest.java
+++ b/src/main/java/wallmoor/edge/EdgeRequest.java
@@ -29,27 +29,26 @@
     /** Parses and checks a JSON body. */
     public static EdgeRequest parse(byte[] json, LaunchConfig launch)
             throws QueryBody.InvalidQueryBodyException, InvalidQueryException {
-        Json.Obj body;
+        QueryBody body;
         try {
-            body = Json.object(json, 0, json.length);
+            body = QueryBody.parse(json, 0, json.length, launch.settings().layout().shards());
         } catch (Json.Malformed e) {
             throw new InvalidQueryException(e.getMessage());
         }
-        String className = body.text("class");
+        String className = body.className();
         int queryClass = launch.knownClassIndex(className);
         if (queryClass < 0) {
             throw new InvalidQueryException("class is absent or unknown: " + className);
         }
-        double timeoutMillis = body.number("deadline_ms", -1);
+        double timeoutMillis = body.timeoutMillis();
         if (!(timeoutMillis >= 1 && timeoutMillis <= MAX_TIMEOUT_MILLIS)) {
             throw new InvalidQueryException("deadline_ms is absent, or no number from 1 to " + MAX_TIMEOUT_MILLIS);
         }
-        String queryText = body.text("q");
+        String queryText = body.text();
         if (queryText == null) {
             throw new InvalidQueryException("q is absent or no text");
         }
-        List<Query.PartRequest> parts = new ArrayList<>(
-                QueryBody.parseParts(body, launch.settings().layout().shards()));
+        List<Query.PartRequest> parts = new ArrayList<>(body.parts());
         parts.sort(Comparator.comparingInt(Query.PartRequest::shard));
         boolean isIdempotent = launch.settings().classes().get(queryClass).idempotency() == Idempotency.IDEMPOTENT;
         return new EdgeRequest(queryClass, launch.classIndex(className) >= 0, isIdempotent, (long) timeoutMillis, parts,
--- a/src/main/java/wallmoor/platform/PlatformFront.java
+++ b/src/main/java/wallmoor/platform/PlatformFront.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -161,8 +160,8 @@
     }
 
     private Query open(HttpMessage request) throws HttpProtocolException {
-        Json.Obj body = parseBody(request);
-        String queryText = body.text("q");
+        QueryBody body = parseBody(request);
+        String queryText = body.text();
         LaunchConfig configuration = currentConfiguration.get();
         int queryClass = configuration.classIndex(request.header("X-Class"));
         String id = request.header("X-Request-Id");
@@ -177,26 +176,19 @@
                 ? QueryHeaders.idempotencyKey(request.header("Idempotency-Key"))
                 : null;
         Query query = gatherer.open(new QueryRequest(id, queryClass, deadline, retry, idempotencyKey,
-                parseParts(body), queryText.getBytes(StandardCharsets.UTF_8)));
+                body.parts(), queryText.getBytes(StandardCharsets.UTF_8)));
         if (query == null) {
             throw new HttpProtocolException(400, "X-Request-Id is in use");
         }
         return query;
     }
 
-    private static Json.Obj parseBody(HttpMessage request) throws HttpProtocolException {
+    private QueryBody parseBody(HttpMessage request) throws HttpProtocolException {
+        ByteSlice bytes = request.body();
         try {
-            ByteSlice bytes = request.body();
-            return Json.object(bytes.buffer(), bytes.from(), bytes.length());
-        } catch (Json.Malformed e) {
-            throw new HttpProtocolException(400, e.getMessage());
-        }
-    }
-
-    private List<Query.PartRequest> parseParts(Json.Obj body) throws HttpProtocolException {
-        try {
-            return QueryBody.parseParts(body, launch.settings().layout().shards());
-        } catch (QueryBody.InvalidQueryBodyException e) {
+            return QueryBody.parse(bytes.buffer(), bytes.from(), bytes.length(),
+                    launch.settings().layout().shards());
+        } catch (Json.Malformed | QueryBody.InvalidQueryBodyException e) {
             throw new HttpProtocolException(400, e.getMessage());
         }
     }
--- a/src/test/java/wallmoor/json/NumbersTest.java
+++ b/src/test/java/wallmoor/json/NumbersTest.java
@@ -24,7 +24,7 @@
                     text.append(CHARACTERS.charAt(rest % CHARACTERS.length()));
                 }
                 String s = text.toString();
-                assertEquals(s, NUMBER.matcher(s).matches(), Json.isNumber(s));
+                assertEquals(s, NUMBER.matcher(s).matches(), JsonNumbers.isNumber(s));
             }
         }
     }
