Collect requests without a thread, so that half requests hold no connection from others

Cause: a request had a thread from its first byte, so connections were limited by memory, and an incomplete later request could not be evicted for 5 s. The rest waited in the kernel. Change: the selector collects a request, RequestScanner finds its end, and a thread takes a complete one, at once or when one is free. Silent, incomplete and closing connections count for the limit of descriptors alone. Eviction treats first and later requests alike. MessageSyntax holds what HttpReader and the scanner share. Tests: offersRetryToClientEvictedWithIncompleteRequest expected a second close by the reader of the half request; there is no reader any more, and the test now demands that exactly one close happens and that the rest of the request starts nothing. EvictionTest covers the new state in full. IncomingBytesTest passes the limit that was built in.

--- a/src/main/java/wallmoor/config/LaunchConfig.java
+++ b/src/main/java/wallmoor/config/LaunchConfig.java
@@ -59,16 +59,24 @@
     private static final String DIGITS = "0123456789";
 
     /**
-     * Returns the maximum number of client connections. Of eight descriptors, five are for clients, two for workers,
-     * and one for discovery and the program's own files; where these need more, clients get what is left. Well-behaved
-     * clients use a third of them for requests; the rest absorbs clients that misbehave.
+     * Returns the maximum number of client connections on which requests are served: the memory for their threads and
+     * buffers allows no more.
      */
     public int maxClientConnections() {
+        int byMemory = Math.max(MIN_CLIENTS, (memoryMb - OWN_MEMORY_MB) * CLIENTS_PER_MB);
+        return Math.min(maxOpenClientConnections(), byMemory);
+    }
+
+    /**
+     * Returns the maximum number of open client connections. Of eight descriptors, five are for clients, two for
+     * workers, and one for discovery and the program's own files; where these need more, clients get what is left.
+     * Well-behaved clients use a third of them for requests; the rest absorbs clients that misbehave.
+     */
+    public int maxOpenClientConnections() {
         int reserved = maxWorkerConnections() + maxAdminConnections() + DISCOVERY_DESCRIPTORS
                 + DescriptorReserve.needed();
         int byDescriptors = Math.max(Math.min(MIN_SHARED_DESCRIPTORS, sockets) * 5 / 8, sockets - reserved);
-        int byMemory = Math.max(MIN_CLIENTS, (memoryMb - OWN_MEMORY_MB) * CLIENTS_PER_MB);
-        return Math.min(Math.min(sockets * 5 / 8, byDescriptors), byMemory);
+        return Math.min(sockets * 5 / 8, byDescriptors);
     }
 
     /** Returns the maximum number of admin connections; only a few operators and a metrics collector use them. */
--- a/src/main/java/wallmoor/http/Connection.java
+++ b/src/main/java/wallmoor/http/Connection.java
@@ -6,8 +6,10 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A client's connection. Between requests only the selector's thread watches it, which passes on the bytes received.
- * From a request's first byte to its answer, a thread of the pool reads the request, handles it and writes the answer.
+ * A client's connection. The selector's thread alone watches it and collects the bytes received, until a request is
+ * complete. From then to its answer, a thread of the pool parses the request, handles it and writes the answer. A client
+ * that is slow to send a request, or never sends the rest, therefore has neither a thread nor a share of the limit on
+ * requests.
  *
  * <p>The {@link IncomingBytes} object is the lock of the state. Reading from the channel and closing the connection
  * from this side are each a single step under that lock: a request read before the close is answered, and bytes read
@@ -20,7 +22,9 @@
         NEW,
         /** A part of the first request has been received. */
         FIRST_REQUEST,
-        /** A request is being read or handled. */
+        /** A part of a later request has been received. */
+        LATER_REQUEST,
+        /** A complete request waits for a thread or is being handled. */
         ACTIVE,
         /**
          * Between requests, none of which was client work; health checks usually use a new connection each time.
@@ -33,7 +37,21 @@
          */
         CLOSING,
         /** Closed in both directions. */
-        CLOSED
+        CLOSED;
+
+        /** Returns whether a part of a request has been received, and not all of it. */
+        boolean isIncomplete() {
+            return this == FIRST_REQUEST || this == LATER_REQUEST;
+        }
+
+        /** Returns whether a request is being served, or one was and the connection waits for the next. */
+        boolean isInUse() {
+            return this == ACTIVE || isIdle();
+        }
+
+        private boolean isIdle() {
+            return this == IDLE || this == IDLE_UNUSED;
+        }
     }
 
     /** After an error, received bytes are discarded until this time after connecting. */
@@ -43,6 +61,12 @@
     private static final byte[] BUSY_RESPONSE = HttpWriter.response(503, "Retry-After: 1\r\n",
             HttpExchange.plainText("too much at work"),
             true, false);
+    private static final byte[] TIMEOUT_RESPONSE = HttpWriter.response(408, "",
+            HttpExchange.plainText("half a message, then silence"), true, false);
+    private static final byte[] TOO_LARGE_RESPONSE = HttpWriter.response(413, "",
+            HttpExchange.plainText("request too large"), true, false);
+    /** The time for reading a request of which all bytes have been received. */
+    private static final int COMPLETE_REQUEST_READ_MILLIS = 1_000;
 
     private final Server server;
     private final ConnectionOutput output;
@@ -54,7 +78,8 @@
     private volatile long stateSince = openedAt;
     private volatile long writeStartedAt;
     private volatile long lingerUntil;
-    private boolean isFirstRequest = true;
+    /** Guarded by {@link #incoming}. */
+    private final RequestScanner scanner = new RequestScanner();
     /** Whether a request on this connection was client work; accessed only by the thread that serves it. */
     private boolean hadClientWork;
     /** The request being handled; guarded by {@link #incoming}. */
@@ -63,7 +88,7 @@
     Connection(Server server, ConnectionOutput output) {
         this.server = server;
         this.output = output;
-        incoming = new IncomingBytes(output::resume);
+        incoming = new IncomingBytes(IncomingBytes.MAX_REQUEST_BYTES, output::resume);
         reader = new HttpReader(incoming);
     }
 
@@ -71,10 +96,10 @@
         return state;
     }
 
-    /** Returns whether a request has been read completely and its answer not yet written. */
+    /** Returns whether a request has been received completely and its answer not yet written. */
     boolean isHandling() {
         synchronized (incoming) {
-            return currentExchange != null;
+            return currentExchange != null || state == ConnectionState.ACTIVE;
         }
     }
 
@@ -113,19 +138,41 @@
                 return true;
             }
             boolean readMore = incoming.add(bytes);
-            if (state == ConnectionState.NEW || isIdle(state)) {
-                transitionTo(state == ConnectionState.NEW ? ConnectionState.FIRST_REQUEST : ConnectionState.ACTIVE);
-                if (!server.startServing(this)) {
-                    refuseAndClose();
-                }
+            if (state == ConnectionState.NEW || state.isIdle()) {
+                transitionTo(state == ConnectionState.NEW ? ConnectionState.FIRST_REQUEST
+                        : ConnectionState.LATER_REQUEST);
+            }
+            if (state.isIncomplete()) {
+                onRequestBytes(readMore);
+            }
+            return readMore || state == ConnectionState.CLOSING;
+        }
+    }
+
+    /** Serves the request if it is complete now. */
+    private void onRequestBytes(boolean hasSpace) {
+        if (isRequestComplete()) {
+            transitionTo(ConnectionState.ACTIVE);
+            if (!server.startServing(this)) {
+                offerAndClose(BUSY_RESPONSE);
             }
-            return readMore;
+        } else if (!hasSpace) {
+            offerAndClose(TOO_LARGE_RESPONSE);
         }
     }
 
+    /** Returns whether the next request can be read to its end, or to the fault that ends it. */
+    private boolean isRequestComplete() {
+        RequestScanner.Result result = incoming.scan(scanner);
+        if (result == RequestScanner.Result.COMPLETE) {
+            scanner.reset();
+        }
+        return result != RequestScanner.Result.INCOMPLETE;
+    }
+
     /**
      * Handles the end of the input: the client has disconnected, whatever it sent before, and nobody waits for the
-     * request being handled. A request that is still being read is ended by its reader.
+     * request being handled. An incomplete request ends here.
      */
     void onInputEnd() {
         HttpExchange interrupted;
@@ -133,7 +180,8 @@
         synchronized (incoming) {
             incoming.end();
             interrupted = currentExchange;
-            close = state == ConnectionState.NEW || isIdle(state) || state == ConnectionState.CLOSING;
+            close = state == ConnectionState.NEW || state.isIdle() || state.isIncomplete()
+                    || state == ConnectionState.CLOSING;
         }
         if (close) {
             close();
@@ -149,19 +197,19 @@
         }
     }
 
-    /** Refuses a request for which no thread is available; it was not started, so its client may retry it. */
-    private void refuseAndClose() {
-        if (offerBusyResponse()) {
+    /** Offers a response to a request that is not served, and closes the connection gracefully. */
+    private void offerAndClose(byte[] response) {
+        if (offer(response)) {
             halfClose(lingerAfterRequest());
         } else {
             close();
         }
     }
 
-    /** Offers a 503 response with {@code Retry-After}. Returns whether it could be written without blocking. */
-    private boolean offerBusyResponse() {
+    /** Offers a response. Returns whether it could be written without blocking. */
+    private boolean offer(byte[] response) {
         try {
-            return output.offer(BUSY_RESPONSE);
+            return output.offer(response);
         } catch (IOException e) {
             return false; // the client has disconnected
         }
@@ -169,14 +217,17 @@
 
     // ---- requests: on a thread of the pool ----------------------------------------------------------------
 
-    /** Serves requests until the connection is idle or ends. An exception closes this connection only. */
+    /**
+     * Serves the requests that are complete, until one is not or the connection ends. An exception closes this
+     * connection only.
+     */
     void serve() {
-        boolean idle = false;
+        boolean released = false;
         try {
             boolean keepAlive = true;
-            while (keepAlive && !idle && reader.await(0)) {
+            while (keepAlive && !released && reader.await(COMPLETE_REQUEST_READ_MILLIS)) {
                 keepAlive = serveOne();
-                idle = keepAlive && becomeIdle();
+                released = keepAlive && releaseUnlessRequestIsComplete();
             }
         } catch (IOException e) {
             // the client has disconnected, or its bytes beyond the limit were discarded
@@ -185,7 +236,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
-            if (!idle) {
+            if (!released) {
                 halfClose(lingerAfterRequest());
             }
         }
@@ -200,19 +251,10 @@
         return Math.max(LINGER_MILLIS, ERROR_LINGER_MILLIS - sinceOpenMillis);
     }
 
-    /** Returns the time in milliseconds within which the next request has to be received. */
-    private int requestTimeoutMillis() {
-        long sinceOpenMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - openedAt);
-        int timeoutMillis = isFirstRequest ? (int) Math.max(100, server.timeouts().firstRequest() - sinceOpenMillis)
-                : server.timeouts().request();
-        isFirstRequest = false;
-        return timeoutMillis;
-    }
-
     private boolean serveOne() throws IOException, InterruptedException {
         HttpMessage request;
         try {
-            request = reader.request(requestTimeoutMillis());
+            request = reader.request(COMPLETE_REQUEST_READ_MILLIS);
         } catch (HttpProtocolException e) {
             new HttpExchange(server, this, null).answer(e.status(), "", HttpExchange.plainText(e.getMessage()));
             return false;
@@ -242,23 +284,25 @@
     }
 
     /**
-     * Makes the connection idle, so that its thread can be released. Returns false if more bytes have been received or
-     * the connection has ended.
+     * Returns the connection to the selector's thread, unless another complete request has been received or the
+     * connection has ended.
+     *
+     * @return whether this thread is released
      */
-    private boolean becomeIdle() {
+    private boolean releaseUnlessRequestIsComplete() {
         synchronized (incoming) {
-            if (incoming.unreadBytes() > 0 || reader.hasBufferedBytes() || incoming.ended() || incoming.truncated()) {
+            if (isRequestComplete() || incoming.ended() || incoming.truncated()) {
                 transitionTo(ConnectionState.ACTIVE);
                 return false;
             }
+            if (incoming.unreadBytes() > 0) {
+                return transitionTo(ConnectionState.LATER_REQUEST);
+            }
+            reader.shrinkEmptyBuffer();
             return transitionTo(hadClientWork ? ConnectionState.IDLE : ConnectionState.IDLE_UNUSED);
         }
     }
 
-    private static boolean isIdle(ConnectionState state) {
-        return state == ConnectionState.IDLE || state == ConnectionState.IDLE_UNUSED;
-    }
-
     /** Writes an answer. If the client reads nothing for too long, {@link #closeExpired} closes the connection. */
     void write(byte[] answer) throws IOException {
         writeStartedAt = System.nanoTime();
@@ -300,6 +344,22 @@
         }
         halfCloseIf(ConnectionState.NEW, server.timeouts().silent());
         halfCloseIdle(idleMillis);
+        timeOutIncompleteRequest(now);
+    }
+
+    /** Answers 408 if the request being received has not become complete in time. */
+    private void timeOutIncompleteRequest(long now) {
+        if (!state.isIncomplete()) {
+            return;
+        }
+        synchronized (incoming) {
+            boolean isFirst = state == ConnectionState.FIRST_REQUEST;
+            long ageNanos = now - (isFirst ? openedAt : stateSince);
+            long timeoutMillis = isFirst ? server.timeouts().firstRequest() : server.timeouts().request();
+            if (state.isIncomplete() && ageNanos >= TimeUnit.MILLISECONDS.toNanos(timeoutMillis)) {
+                offerAndClose(TIMEOUT_RESPONSE);
+            }
+        }
     }
 
     /** Closes the connection gracefully if it has been idle for this time. */
@@ -355,8 +415,8 @@
         synchronized (incoming) {
             close = hasBeenIn(expected, millis);
             if (close) {
-                if (expected == ConnectionState.FIRST_REQUEST) {
-                    offerBusyResponse(); // its request may have become complete just now
+                if (expected.isIncomplete()) {
+                    offer(BUSY_RESPONSE); // its request may have become complete just now
                 }
                 close();
             }
@@ -371,7 +431,7 @@
     /** Closes the connection at once. */
     void close() {
         synchronized (incoming) {
-            state = ConnectionState.CLOSED;
+            setState(ConnectionState.CLOSED);
             try {
                 output.close();
             } catch (IOException e) {
@@ -392,7 +452,12 @@
             return false;
         }
         stateSince = System.nanoTime();
-        state = next;
+        setState(next);
         return true;
     }
+
+    private void setState(ConnectionState next) {
+        server.onStateChange(state, next);
+        state = next;
+    }
 }
--- a/src/main/java/wallmoor/http/ConnectionTimeouts.java
+++ b/src/main/java/wallmoor/http/ConnectionTimeouts.java
@@ -12,7 +12,8 @@
  * @param idleLowLoad             the same if at most an eighth are open
  * @param evictSilent             the minimum age at which a connection that never sent anything may be evicted, when
  *                                the maximum number of connections is reached
- * @param evictIncompleteRequest  the same for a connection whose first request is incomplete
+ * @param evictIncompleteRequest  the same for a connection whose request, the first or a later one, is
+ *                                incomplete
  * @param evictIdle               the same for a connection between requests, in preference to a silent one
  * @param evictRecentlyIdle       the same for a connection between requests, if no silent one may be evicted
  */
--- a/src/main/java/wallmoor/http/Eviction.java
+++ b/src/main/java/wallmoor/http/Eviction.java
@@ -8,7 +8,13 @@
  */
 final class Eviction {
     /** The time in milliseconds that the oldest connection in each state has been in it; -1 if there is none. */
-    record OldestMillis(long closing, long idleUnused, long fresh, long idle, long firstRequest) {}
+    record OldestMillis(long closing, long idleUnused, long fresh, long idle, long firstRequest,
+            long laterRequest) {
+        /** Returns the time for which the oldest incomplete request has been received. */
+        private long incompleteRequest() {
+            return Math.max(firstRequest, laterRequest);
+        }
+    }
 
     private Eviction() {}
 
@@ -36,6 +42,10 @@
         if (oldest.idle >= timeouts.evictRecentlyIdle()) {
             return ConnectionState.IDLE;
         }
-        return oldest.firstRequest >= timeouts.evictIncompleteRequest() ? ConnectionState.FIRST_REQUEST : null;
+        if (oldest.incompleteRequest() < timeouts.evictIncompleteRequest()) {
+            return null;
+        }
+        return oldest.firstRequest >= oldest.laterRequest ? ConnectionState.FIRST_REQUEST
+                : ConnectionState.LATER_REQUEST;
     }
 }
--- a/src/main/java/wallmoor/http/HttpReader.java
+++ b/src/main/java/wallmoor/http/HttpReader.java
@@ -20,10 +20,7 @@
 public final class HttpReader {
     /** The default limit on the size of a body. */
     public static final int MAX_BODY_BYTES = 64 * 1024;
-    private static final int MAX_HEAD_BYTES = 16 * 1024;
-    private static final int MAX_HEADERS = 64;
     private static final int INITIAL_BUFFER_BYTES = 2048;
-    private static final int MAX_CHUNK_LINE_BYTES = 1024;
     /** The remaining length of a body that ends with its connection. */
     private static final int UNTIL_CLOSE = Integer.MAX_VALUE;
 
@@ -69,11 +66,6 @@
         this.incoming = incoming;
     }
 
-    /** Returns whether the beginning of another message has already been read. */
-    boolean hasBufferedBytes() {
-        return position < limit;
-    }
-
     /** Sets the limit on the size of a body, for a peer that is trusted with more than {@link #MAX_BODY_BYTES}. */
     public void setMaxBodyBytes(int maxBytes) {
         maxBodyBytes = maxBytes;
@@ -114,18 +106,11 @@
     /**
      * Reads a request after {@link #await} has returned true.
      *
-     * @param millis the time within which the request has to be received
+     * @param millis the time within which the rest of the request has to be received
      */
     public HttpMessage request(int millis) throws IOException, HttpProtocolException {
-        deadline = readStartedAt + TimeUnit.MILLISECONDS.toNanos(millis);
-        String[] requestLine = readLine(0, 414).split(" ", -1);
-        if (requestLine.length != 3 || requestLine[0].isEmpty() || !requestLine[1].startsWith("/")
-                || !requestLine[2].startsWith("HTTP/")) {
-            throw new HttpProtocolException(400, "malformed request line");
-        }
-        if (!requestLine[2].equals("HTTP/1.1") && !requestLine[2].equals("HTTP/1.0")) {
-            throw new HttpProtocolException(505, "HTTP/1.1 only");
-        }
+        deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        String[] requestLine = MessageSyntax.parseRequestLine(readLine(0, 414));
         List<String> headers = readHeaders();
         return new HttpMessage(requestLine[0], requestLine[1], 0, headers, readBody(headers, false),
                 isKeepAlive(headers, requestLine[2]), firstByteAt);
@@ -205,40 +190,13 @@
         return new ByteSlice(buffer, position - length, length);
     }
 
-    /**
-     * Returns the length given by the head, or -1, and sets {@link #chunked}. Rejects two different lengths, and a
-     * length together with chunks: peers that interpret them differently could be made to see a second message.
-     */
+    /** Returns the length given by the head, or -1, and sets {@link #chunked}. */
     private int parseFraming(List<String> headers) throws HttpProtocolException {
-        int length = -1;
-        chunked = false;
         chunkEndPending = false;
         chunkRemaining = 0;
-        for (int i = 0; i < headers.size(); i += 2) {
-            String value = headers.get(i + 1);
-            if (headers.get(i).equalsIgnoreCase("Transfer-Encoding")) {
-                if (!value.equalsIgnoreCase("chunked") || chunked) {
-                    throw new HttpProtocolException(501, "unknown transfer coding");
-                }
-                chunked = true;
-            } else if (headers.get(i).equalsIgnoreCase("Content-Length")) {
-                if (value.length() > 18 || !containsOnly("0123456789", value)) {
-                    throw new HttpProtocolException(400, "malformed Content-Length");
-                }
-                long declaredLength = Long.parseLong(value);
-                if (declaredLength > maxBodyBytes) {
-                    throw new HttpProtocolException(413, "body too large");
-                }
-                if (length >= 0 && length != declaredLength) {
-                    throw new HttpProtocolException(400, "two lengths");
-                }
-                length = (int) declaredLength;
-            }
-        }
-        if (chunked && length >= 0) {
-            throw new HttpProtocolException(400, "both a length and chunks");
-        }
-        return length;
+        MessageSyntax.BodyFraming framing = MessageSyntax.parseFraming(headers, maxBodyBytes);
+        chunked = framing.chunked();
+        return framing.length();
     }
 
     private ByteSlice readChunkedBody() throws IOException, HttpProtocolException {
@@ -268,11 +226,7 @@
 
     /** Reads the size of the next chunk. Returns false at the last chunk, after reading its trailers. */
     private boolean nextChunk() throws IOException, HttpProtocolException {
-        String size = readLine(MAX_CHUNK_LINE_BYTES, 400).split(";", 2)[0].trim();
-        if (size.length() > 7 || !containsOnly("0123456789abcdefABCDEF", size)) {
-            throw new HttpProtocolException(400, "malformed chunk size");
-        }
-        chunkRemaining = Integer.parseInt(size, 16);
+        chunkRemaining = MessageSyntax.parseChunkSize(readLine(MessageSyntax.MAX_CHUNK_LINE_BYTES, 400));
         if (chunkRemaining == 0) {
             readHeaders();
         }
@@ -280,7 +234,7 @@
     }
 
     private void readChunkEnd() throws IOException, HttpProtocolException {
-        if (!readLine(MAX_CHUNK_LINE_BYTES, 400).isEmpty()) {
+        if (!readLine(MessageSyntax.MAX_CHUNK_LINE_BYTES, 400).isEmpty()) {
             throw new HttpProtocolException(400, "malformed chunk");
         }
     }
@@ -302,36 +256,16 @@
 
     private List<String> readHeaders() throws IOException, HttpProtocolException {
         var headers = new ArrayList<String>();
-        int remainingBytes = MAX_HEAD_BYTES;
+        int remainingBytes = MessageSyntax.MAX_HEAD_BYTES;
         for (String line = readLine(remainingBytes, 431); !line.isEmpty(); line = readLine(remainingBytes, 431)) {
             remainingBytes -= line.length() + 2;
-            int colon = line.indexOf(':');
-            if (colon < 1 || !isValidHeaderLine(line, colon)) {
-                throw new HttpProtocolException(400, "malformed header");
-            }
-            if (headers.size() >= 2 * MAX_HEADERS || remainingBytes <= 0) {
-                throw new HttpProtocolException(431, "head too large");
-            }
+            int colon = MessageSyntax.checkHeaderLine(line, headers.size() / 2, remainingBytes);
             headers.add(line.substring(0, colon));
             headers.add(line.substring(colon + 1).trim());
         }
         return headers;
     }
 
-    /**
-     * Returns whether the name has only visible characters and the value no control characters; other implementations
-     * would parse such a head differently.
-     */
-    private static boolean isValidHeaderLine(String line, int colon) {
-        for (int i = 0; i < line.length(); i++) {
-            char c = line.charAt(i);
-            if ((c < ' ' && c != '\t') || c == 127 || (i < colon && (c <= ' ' || c > 126))) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     /**
      * Reads a line, without its end.
      *
@@ -339,7 +273,7 @@
      * @param tooLongStatus the status to answer with if the line is longer
      */
     private String readLine(int maxBytes, int tooLongStatus) throws IOException, HttpProtocolException {
-        int limitBytes = maxBytes == 0 ? MAX_HEAD_BYTES : maxBytes;
+        int limitBytes = maxBytes == 0 ? MessageSyntax.MAX_HEAD_BYTES : maxBytes;
         for (int i = 0;; i++) {
             if (i > limitBytes) {
                 throw new HttpProtocolException(tooLongStatus, "line too long");
@@ -359,21 +293,12 @@
     /** Returns whether a line is {@code HTTP/1.0} or {@code 1.1}, a status of 100 to 599 and an optional reason. */
     private static boolean isStatusLine(String line) {
         return (line.startsWith("HTTP/1.0 ") || line.startsWith("HTTP/1.1 ")) && line.length() >= 12
-                && line.charAt(9) >= '1' && line.charAt(9) <= '5' && containsOnly("0123456789", line.substring(10, 12))
+                && line.charAt(9) >= '1' && line.charAt(9) <= '5'
+                && MessageSyntax.containsOnly("0123456789", line.substring(10, 12))
                 && (line.length() == 12 || line.charAt(12) == ' ') && line.indexOf('\r') < 0
                 && line.indexOf('\u0085') < 0;
     }
 
-    /** Returns whether a text is not empty and has only these characters. Avoids a regular expression per message. */
-    private static boolean containsOnly(String allowed, String text) {
-        for (int i = 0; i < text.length(); i++) {
-            if (allowed.indexOf(text.charAt(i)) < 0) {
-                return false;
-            }
-        }
-        return !text.isEmpty();
-    }
-
     private static boolean hasTransferEncoding(List<String> headers) {
         return HttpMessage.find(headers, "Transfer-Encoding") != null;
     }
--- a/src/main/java/wallmoor/http/IncomingBytes.java
+++ b/src/main/java/wallmoor/http/IncomingBytes.java
@@ -12,10 +12,15 @@
  */
 final class IncomingBytes extends InputStream {
     /**
-     * The limit on unread bytes: once it is reached, the peer is not read any further until the reader has caught up.
-     * While a request is being handled, reading continues beyond the limit in order to detect that the peer has closed.
+     * The limit on unread bytes while a request is being handled. Reading continues beyond it, in order to detect that
+     * the peer has closed, and the bytes are discarded.
      */
     static final int MAX_UNREAD_BYTES = 16 * 1024;
+    /**
+     * The limit on unread bytes while a request is incomplete: a request line and a head of the largest size, and a
+     * body in chunks that takes as many bytes for its chunks' lines as for their content.
+     */
+    static final int MAX_REQUEST_BYTES = 2 * MessageSyntax.MAX_HEAD_BYTES + 2 * HttpReader.MAX_BODY_BYTES;
     private static final int INITIAL_BUFFER_BYTES = 1024;
     private static final byte[] EMPTY = new byte[0];
 
@@ -28,14 +33,19 @@
     private boolean full;
     private boolean readingBeyondLimit;
     private boolean truncated;
+    private final int maxUnreadBytes;
     private final Runnable resume;
+    /** The number of bytes that may be read, while a reader may read one request only; negative for all bytes. */
+    private int readable = -1;
 
     /**
      * Creates an empty buffer.
      *
-     * @param resume runs when a full buffer has been read, so that the channel is read again
+     * @param maxUnreadBytes the number of unread bytes at which the peer is not read any further
+     * @param resume         runs when a full buffer has been read, so that the channel is read again
      */
-    IncomingBytes(Runnable resume) {
+    IncomingBytes(int maxUnreadBytes, Runnable resume) {
+        this.maxUnreadBytes = maxUnreadBytes;
         this.resume = resume;
     }
 
@@ -62,7 +72,7 @@
         }
         from.get(bytes, limit, added);
         limit += added;
-        full = !readingBeyondLimit && unreadBytes() >= MAX_UNREAD_BYTES;
+        full = !readingBeyondLimit && unreadBytes() >= unreadLimit();
         notifyAll();
         return !full;
     }
@@ -98,6 +108,24 @@
         }
     }
 
+    /**
+     * Looks for the end of the request that begins with the first unread byte. If the request is complete, the bytes of
+     * that request alone can be read until the next call.
+     */
+    synchronized RequestScanner.Result scan(RequestScanner scanner) {
+        RequestScanner.Result result = scanner.scan(bytes, position, limit);
+        readable = result == RequestScanner.Result.COMPLETE ? scanner.length() : -1;
+        if (unreadBytes() < unreadLimit()) {
+            resumeIfFull();
+        }
+        return result;
+    }
+
+    /** Returns the number of unread bytes at which the peer is not read any further: less behind a complete request. */
+    private int unreadLimit() {
+        return readable < 0 ? maxUnreadBytes : Math.min(maxUnreadBytes, readable + MAX_UNREAD_BYTES);
+    }
+
     /** Marks the end of the stream. */
     synchronized void end() {
         ended = true;
@@ -132,7 +160,7 @@
     public synchronized int read(byte[] to, int from, int length) throws InterruptedIOException {
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
         try {
-            while (position == limit && !ended && !truncated && length > 0) {
+            while ((position == limit || readable == 0) && !ended && !truncated && length > 0) {
                 long remainingMillis = timeoutMillis == 0 ? 0
                         : TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime() + 999_999);
                 if (remainingMillis < 0 || (remainingMillis == 0 && timeoutMillis != 0)) {
@@ -144,12 +172,13 @@
             Thread.currentThread().interrupt();
             throw new InterruptedIOException("interrupted while waiting for bytes");
         }
-        if (position == limit) {
+        if (position == limit || readable == 0) {
             return length == 0 ? 0 : -1;
         }
-        int count = Math.min(length, limit - position);
+        int count = Math.min(length, readable < 0 ? limit - position : readable);
         System.arraycopy(bytes, position, to, from, count);
         position += count;
+        readable -= readable < 0 ? 0 : count;
         if (position == limit) {
             position = 0;
             limit = 0;
--- a/src/main/java/wallmoor/http/Server.java
+++ b/src/main/java/wallmoor/http/Server.java
@@ -6,17 +6,21 @@
 import java.net.Socket;
 import java.nio.channels.ClosedChannelException;
 import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import wallmoor.http.Connection.ConnectionState;
 
 /**
- * An HTTP/1.1 server. One thread watches the idle connections; a blocking thread of a pool reads, handles and answers a
- * request. A client that stops reading delays only its own connection.
+ * An HTTP/1.1 server. One thread watches the connections and collects their bytes; a blocking thread of a pool handles
+ * and answers a complete request. A client that stops sending or reading delays only its own connection.
  */
 public final class Server {
     /** Handles requests, each on a thread of the pool. */
@@ -38,12 +42,18 @@
 
     private final String name;
     private final ConnectionAcceptor acceptor;
+    /** The maximum number of connections on which a request is served or was the last that happened. */
     private volatile int maxConnections;
+    /** The maximum number of open connections, whatever their clients have sent. */
+    private volatile int maxOpenConnections;
     private final ConnectionTimeouts timeouts;
     private final Handler handler;
     private final Consumer<String> log;
     private final ThreadPoolExecutor requestThreads;
+    /** Connections with a complete request for which no thread was free. */
+    private final Queue<Connection> waitingForThread = new ConcurrentLinkedQueue<>();
     private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger connectionsInUse = new AtomicInteger();
     private volatile boolean closingAfterAnswers;
     /** Whether idle connections are kept open, with a longer timeout. */
     private volatile boolean keepsIdleConnections;
@@ -77,6 +87,7 @@
         this.acceptor = acceptor;
         this.timeouts = timeouts;
         this.maxConnections = maxConnections;
+        this.maxOpenConnections = maxConnections;
         this.handler = handler;
         this.log = log;
         requestThreads = Threads.pool(name + "-query", maxRequests + SPARE_THREADS);
@@ -120,9 +131,16 @@
         acceptor.stop();
     }
 
-    /** Sets the maximum number of connections; surplus ones stay open until they are idle or evicted. */
-    public void setMaxConnections(int limit) {
+    /**
+     * Sets the maximum numbers of connections; surplus ones stay open until they are idle or evicted.
+     *
+     * @param limit     the maximum number of connections on which a request is served or was the last that happened
+     * @param openLimit the maximum number of open connections, at least as many: those on which no request is complete
+     *                  yet need neither a thread nor much memory
+     */
+    public void setMaxConnections(int limit, int openLimit) {
         maxConnections = limit;
+        maxOpenConnections = Math.max(limit, openLimit);
     }
 
     /**
@@ -154,9 +172,7 @@
             try {
                 ConnectionSelector.ChannelOutput output = selector.output(acceptor.accept());
                 connection = new Connection(this, output);
-                while (connections.size() >= maxConnections) {
-                    evictOne();
-                }
+                awaitSpace();
                 connections.add(connection);
                 output.startReading(connection);
             } catch (ClosedChannelException e) {
@@ -172,19 +188,32 @@
     }
 
     /**
-     * Evicts the connection that {@link Eviction} chooses. If there is none, the accepting thread waits, and new
-     * connections remain in the accept queue.
+     * Evicts connections until there is space for another one. While none may be evicted, the accepting thread waits,
+     * and new connections remain in the accept queue.
      */
-    private void evictOne() {
+    private void awaitSpace() {
+        while (connections.size() >= maxOpenConnections) {
+            evictOne(EnumSet.allOf(ConnectionState.class));
+        }
+        while (connectionsInUse.get() >= maxConnections) {
+            evictOne(EnumSet.of(ConnectionState.IDLE_UNUSED, ConnectionState.IDLE));
+        }
+    }
+
+    /** Evicts the connection that {@link Eviction} chooses among those in some states, or pauses if there is none. */
+    private void evictOne(Set<ConnectionState> candidates) {
         var oldest = new EnumMap<ConnectionState, Connection>(ConnectionState.class);
         for (Connection c : connections) {
-            oldest.merge(c.state(), c, (a, b) -> a.stateSince() <= b.stateSince() ? a : b);
+            if (candidates.contains(c.state())) {
+                oldest.merge(c.state(), c, (a, b) -> a.stateSince() <= b.stateSince() ? a : b);
+            }
         }
         long now = System.nanoTime();
         var ages = new Eviction.OldestMillis(ageMillis(oldest, ConnectionState.CLOSING, now),
                 ageMillis(oldest, ConnectionState.IDLE_UNUSED, now),
                 ageMillis(oldest, ConnectionState.NEW, now), ageMillis(oldest, ConnectionState.IDLE, now),
-                ageMillis(oldest, ConnectionState.FIRST_REQUEST, now));
+                ageMillis(oldest, ConnectionState.FIRST_REQUEST, now),
+                ageMillis(oldest, ConnectionState.LATER_REQUEST, now));
         ConnectionState victim = Eviction.choose(ages, timeouts);
         if (victim == null || !oldest.get(victim).closeIf(victim, 0)) {
             pause(EVICTION_RETRY_MILLIS);
@@ -213,6 +242,7 @@
             long now = System.nanoTime();
             connections.forEach(c -> c.closeExpired(now, MAX_WRITE_MILLIS,
                     keepsIdleConnections ? KEPT_IDLE_MILLIS : idleMillis));
+            serveWaiting();
             try {
                 Thread.sleep(WATCH_INTERVAL_MILLIS);
             } catch (InterruptedException e) {
@@ -227,16 +257,41 @@
         return timeouts;
     }
 
-    /** Starts to serve a connection on a thread of the pool. Returns false if no thread is available. */
+    /** Counts the connections in use. */
+    void onStateChange(ConnectionState previous, ConnectionState next) {
+        connectionsInUse.addAndGet((next.isInUse() ? 1 : 0) - (previous.isInUse() ? 1 : 0));
+    }
+
+    /**
+     * Serves a connection on a thread of the pool, now or as soon as one is free. Returns false if there is no memory
+     * for a thread.
+     */
     boolean startServing(Connection connection) {
         try {
-            requestThreads.execute(connection::serve);
+            requestThreads.execute(() -> serveWithWaiting(connection));
             return true;
-        } catch (RejectedExecutionException | OutOfMemoryError e) {
+        } catch (RejectedExecutionException e) {
+            waitingForThread.add(connection);
+            return true;
+        } catch (OutOfMemoryError e) {
             return false;
         }
     }
 
+    private void serveWithWaiting(Connection first) {
+        for (Connection next = first; next != null; next = waitingForThread.poll()) {
+            next.serve();
+        }
+    }
+
+    /** Serves a waiting connection if a thread is free, which missed it as it began to wait. */
+    private void serveWaiting() {
+        Connection waiting = waitingForThread.poll();
+        if (waiting != null && !startServing(waiting)) {
+            waitingForThread.add(waiting);
+        }
+    }
+
     void remove(Connection connection) {
         connections.remove(connection);
     }
--- a/src/main/java/wallmoor/platform/PlatformFront.java
+++ b/src/main/java/wallmoor/platform/PlatformFront.java
@@ -76,6 +76,7 @@
         server = new Server("api", acceptor, launch.maxClientConnections(), launch.maxClientConnections(),
                 ConnectionTimeouts.SHORT,
                 this::handle, log::info);
+        setProcessCount(1);
     }
 
     /** Starts to serve requests. */
@@ -90,7 +91,8 @@
 
     /** Sets how many processes share the maximum number of client connections of this gatherer. */
     public void setProcessCount(int processes) {
-        server.setMaxConnections(Math.max(1, launch.maxClientConnections() / processes));
+        server.setMaxConnections(Math.max(1, launch.maxClientConnections() / processes),
+                Math.max(1, launch.maxOpenClientConnections() / processes));
     }
 
     /** Sets whether the platform may send clients to this process. */
