Record the start of the held request before the test is told of it

ServerCrossingsTest.countsTimeOfPipelinedRequestFromItsArrival failed once: the handler told the test of the request first and stored its time after that, so the test could read 0. The order is turned round; what is asserted is the same.

--- a/src/test/java/wallmoor/http/ServerCrossingsTest.java
+++ b/src/test/java/wallmoor/http/ServerCrossingsTest.java
@@ -47,9 +47,11 @@
     /** Answers a request; one for /held only once the test releases it, and not if its client disconnects before. */
     private void handle(HttpMessage request, HttpExchange exchange) throws IOException, InterruptedException {
         String target = request.target();
+        if (target.equals("/held")) {
+            heldStartedAt.set(System.nanoTime()); // before the test, which waits for the target, reads it
+        }
         startedTargets.add((exchange.hasClientDisconnected() ? "gone " : "") + target);
         if (target.equals("/held")) {
-            heldStartedAt.set(System.nanoTime());
             var disconnected = new CountDownLatch(1);
             exchange.whenClientDisconnects(() -> {
                 disconnectedTargets.add(target);
