Bound the heap that requests take while they are received and handled

Callers saw: with hundreds of clients that stop within large requests the heap was full, and sound requests were closed unanswered or answered late. Cause: only the number of connections bounded what parts of requests hold. Change: an eighth of the heap for requests being received and an eighth for those being handled, at each front. Without memory, connections with over 8 KB of an incomplete request are not read for now; old ones are refused; complete requests wait for their share. Evidence: on the commit before, IncompleteRequestsTest with 500 such clients fails ('answered within its deadline, after ms expected:<0> but was:<99>'); now it passes.

--- a/src/main/java/wallmoor/http/Connection.java
+++ b/src/main/java/wallmoor/http/Connection.java
@@ -78,6 +78,10 @@
     private volatile long stateSince = openedAt;
     private volatile long writeStartedAt;
     private volatile long lingerUntil;
+    /** The bytes held by {@link #incoming} as last reported to the server; modified only while holding its lock. */
+    private volatile int bufferedBytes;
+    /** The length of the complete request that waits for a thread or is being handled; guarded by {@link #incoming}. */
+    private int requestBytes;
     /** Guarded by {@link #incoming}. */
     private final RequestScanner scanner = new RequestScanner();
     /** Whether a request on this connection was client work; accessed only by the thread that serves it. */
@@ -107,6 +111,18 @@
         return stateSince;
     }
 
+    /** Returns the memory held by bytes that have been received and not read. */
+    int bufferedBytes() {
+        return bufferedBytes;
+    }
+
+    /** Returns the length of the complete request that waits for a thread or is being handled. */
+    int requestBytes() {
+        synchronized (incoming) {
+            return requestBytes;
+        }
+    }
+
     // ---- received bytes: on the selector thread, which never blocks ----------------------------------------
 
     /**
@@ -134,21 +150,35 @@
      */
     boolean onReceived(ByteBuffer bytes) {
         synchronized (incoming) {
-            if (state == ConnectionState.CLOSING || state == ConnectionState.CLOSED) {
-                return true;
-            }
-            boolean readMore = incoming.add(bytes);
-            if (state == ConnectionState.NEW || state.isIdle()) {
-                transitionTo(state == ConnectionState.NEW ? ConnectionState.FIRST_REQUEST
-                        : ConnectionState.LATER_REQUEST);
-            }
-            if (state.isIncomplete()) {
-                onRequestBytes(readMore);
-            }
-            return readMore || state == ConnectionState.CLOSING;
+            boolean readMore = addReceived(bytes);
+            reportBufferedBytes();
+            return readMore && !(state.isIncomplete() && server.pausesReading(this));
         }
     }
 
+    /** Adds received bytes. The caller holds the lock on {@link #incoming}. */
+    private boolean addReceived(ByteBuffer bytes) {
+        if (state == ConnectionState.CLOSING || state == ConnectionState.CLOSED) {
+            return true;
+        }
+        boolean readMore = incoming.add(bytes);
+        if (state == ConnectionState.NEW || state.isIdle()) {
+            transitionTo(
+                    state == ConnectionState.NEW ? ConnectionState.FIRST_REQUEST : ConnectionState.LATER_REQUEST);
+        }
+        if (state.isIncomplete()) {
+            onRequestBytes(readMore);
+        }
+        return readMore || state == ConnectionState.CLOSING;
+    }
+
+    /** Tells the server how much memory the received bytes hold. The caller holds the lock on {@link #incoming}. */
+    private void reportBufferedBytes() {
+        int held = incoming.capacity();
+        server.onBufferedBytes(held - bufferedBytes);
+        bufferedBytes = held;
+    }
+
     /** Serves the request if it is complete now. */
     private void onRequestBytes(boolean hasSpace) {
         if (isRequestComplete()) {
@@ -164,6 +194,7 @@
     /** Returns whether the next request can be read to its end, or to the fault that ends it. */
     private boolean isRequestComplete() {
         RequestScanner.Result result = incoming.scan(scanner);
+        requestBytes = scanner.length();
         if (result == RequestScanner.Result.COMPLETE) {
             scanner.reset();
         }
@@ -266,6 +297,7 @@
                 return false; // evicted before the request was started
             }
             currentExchange = exchange;
+            reportBufferedBytes(); // the reader has a copy
             disconnected = incoming.ended();
             incoming.readBeyondLimit(true);
         }
@@ -299,6 +331,7 @@
                 return transitionTo(ConnectionState.LATER_REQUEST);
             }
             reader.shrinkEmptyBuffer();
+            reportBufferedBytes();
             return transitionTo(hadClientWork ? ConnectionState.IDLE : ConnectionState.IDLE_UNUSED);
         }
     }
@@ -398,6 +431,7 @@
                     clientEnded = true; // the client has already disconnected
                 }
                 incoming.clear();
+                reportBufferedBytes();
             }
         }
         if (clientEnded) {
@@ -424,6 +458,20 @@
         return close;
     }
 
+    /** Refuses the request being received, to free its memory, if it has been incomplete for this time. */
+    void refuseIncompleteRequest(long millis) {
+        synchronized (incoming) {
+            if (state.isIncomplete() && hasBeenIn(state, millis)) {
+                offerAndClose(BUSY_RESPONSE);
+            }
+        }
+    }
+
+    /** Resumes reading after {@link Server#pausesReading}. */
+    void resumeReading() {
+        output.resume();
+    }
+
     private boolean hasBeenIn(ConnectionState expected, long millis) {
         return state == expected && System.nanoTime() - stateSince >= TimeUnit.MILLISECONDS.toNanos(millis);
     }
@@ -438,6 +486,10 @@
                 // nothing more can be done to close it
             }
             incoming.end();
+            if (currentExchange == null) {
+                incoming.clear();
+            }
+            reportBufferedBytes();
         }
         server.remove(this);
     }
--- a/src/main/java/wallmoor/http/IncomingBytes.java
+++ b/src/main/java/wallmoor/http/IncomingBytes.java
@@ -136,6 +136,11 @@
         return ended;
     }
 
+    /** Returns the size of the buffer in bytes. */
+    synchronized int capacity() {
+        return bytes.length;
+    }
+
     synchronized int unreadBytes() {
         return limit - position;
     }
--- a/src/main/java/wallmoor/http/Server.java
+++ b/src/main/java/wallmoor/http/Server.java
@@ -7,6 +7,7 @@
 import java.nio.channels.ClosedChannelException;
 import java.util.EnumMap;
 import java.util.EnumSet;
+import java.util.List;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -40,6 +41,15 @@
     /** The maximum duration of a write, after which the connection is closed. */
     private static final long MAX_WRITE_MILLIS = 5_000;
 
+    /** One in this many bytes of the heap is for requests that this server is receiving. */
+    private static final int BUFFERED_HEAP_DIVISOR = 8;
+    /** One in this many bytes of the heap is for requests that this server is handling. */
+    private static final int HANDLED_HEAP_DIVISOR = 8;
+    /** The part of a request, in bytes, that is received however little memory is left. */
+    private static final int MAX_UNPAUSED_BYTES = 8 * 1024;
+    /** A request that is being handled is held as received, as read, and as the text and the bytes of its query. */
+    private static final int COPIES_OF_HANDLED_REQUEST = 4;
+
     private final String name;
     private final ConnectionAcceptor acceptor;
     /** The maximum number of connections on which a request is served or was the last that happened. */
@@ -50,10 +60,16 @@
     private final Handler handler;
     private final Consumer<String> log;
     private final ThreadPoolExecutor requestThreads;
-    /** Connections with a complete request for which no thread was free. */
-    private final Queue<Connection> waitingForThread = new ConcurrentLinkedQueue<>();
+    /** Connections with a part of a large request that are not read for lack of memory. */
+    private final Queue<Connection> pausedConnections = new ConcurrentLinkedQueue<>();
+    /** Connections with a complete request for which no thread or no memory was free. */
+    private final Queue<Connection> waitingConnections = new ConcurrentLinkedQueue<>();
     private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
     private final AtomicInteger connectionsInUse = new AtomicInteger();
+    /** The memory of requests that are being received or wait for a thread. */
+    private final ByteQuota bufferedBytes = new ByteQuota(heapBytes() / BUFFERED_HEAP_DIVISOR);
+    /** The memory of requests that are being handled. */
+    private final ByteQuota handledBytes = new ByteQuota(heapBytes() / HANDLED_HEAP_DIVISOR);
     private volatile boolean closingAfterAnswers;
     /** Whether idle connections are kept open, with a longer timeout. */
     private volatile boolean keepsIdleConnections;
@@ -243,6 +259,8 @@
             connections.forEach(c -> c.closeExpired(now, MAX_WRITE_MILLIS,
                     keepsIdleConnections ? KEPT_IDLE_MILLIS : idleMillis));
             serveWaiting();
+            refuseStalledRequests();
+            resumePaused();
             try {
                 Thread.sleep(WATCH_INTERVAL_MILLIS);
             } catch (InterruptedException e) {
@@ -262,33 +280,103 @@
         connectionsInUse.addAndGet((next.isInUse() ? 1 : 0) - (previous.isInUse() ? 1 : 0));
     }
 
+    /** Counts the memory of requests being received. */
+    void onBufferedBytes(int change) {
+        bufferedBytes.add(change);
+    }
+
+    /**
+     * Returns whether a connection is not to be read for now: it holds a part of a large request while those being
+     * received hold too much memory. It is read again once there is memory. Small requests are never held up.
+     */
+    boolean pausesReading(Connection connection) {
+        if (!bufferedBytes.isExceeded() || connection.bufferedBytes() <= MAX_UNPAUSED_BYTES) {
+            return false;
+        }
+        pausedConnections.add(connection);
+        return true;
+    }
+
+    /** Reads paused connections again, those that waited longest first, as far as there is memory for their bytes. */
+    private void resumePaused() {
+        long freeBytes = bufferedBytes.freeBytes();
+        while (freeBytes > 0) {
+            Connection paused = pausedConnections.poll();
+            if (paused == null) {
+                return;
+            }
+            paused.resumeReading();
+            freeBytes -= IncomingBytes.MAX_UNREAD_BYTES;
+        }
+    }
+
     /**
-     * Serves a connection on a thread of the pool, now or as soon as one is free. Returns false if there is no memory
-     * for a thread.
+     * Refuses large requests that have been incomplete for long while others are paused, so that requests sent at once
+     * get the memory of those whose clients have stopped.
+     */
+    private void refuseStalledRequests() {
+        for (Connection c : connections) {
+            if (!bufferedBytes.isExceeded()) {
+                return;
+            }
+            if (c.bufferedBytes() > MAX_UNPAUSED_BYTES) {
+                c.refuseIncompleteRequest(timeouts.firstRequest() / 2);
+            }
+        }
+    }
+
+    private static long heapBytes() {
+        return Runtime.getRuntime().maxMemory();
+    }
+
+    /**
+     * Serves a connection on a thread of the pool: now, or as soon as a thread and the memory for its request are free.
+     * Returns false if there is no memory for a thread.
      */
     boolean startServing(Connection connection) {
+        long bytes = handledBytes(connection);
+        if (!handledBytes.tryTake(bytes)) {
+            waitingConnections.add(connection);
+            return true;
+        }
         try {
-            requestThreads.execute(() -> serveWithWaiting(connection));
+            requestThreads.execute(() -> serveWithWaiting(connection, bytes));
             return true;
         } catch (RejectedExecutionException e) {
-            waitingForThread.add(connection);
+            handledBytes.giveBack(bytes);
+            waitingConnections.add(connection);
             return true;
         } catch (OutOfMemoryError e) {
+            handledBytes.giveBack(bytes);
             return false;
         }
     }
 
-    private void serveWithWaiting(Connection first) {
-        for (Connection next = first; next != null; next = waitingForThread.poll()) {
-            next.serve();
+    private static long handledBytes(Connection connection) {
+        return (long) COPIES_OF_HANDLED_REQUEST * connection.requestBytes();
+    }
+
+    /** Serves a connection, then waiting ones whose requests fit into the memory that it gave back. */
+    private void serveWithWaiting(Connection connection, long bytes) {
+        connection.serve();
+        handledBytes.giveBack(bytes);
+        resumePaused();
+        for (Connection waiting : List.copyOf(waitingConnections)) {
+            long waitingBytes = handledBytes(waiting);
+            if (handledBytes.tryTake(waitingBytes)) {
+                if (waitingConnections.remove(waiting)) {
+                    waiting.serve();
+                }
+                handledBytes.giveBack(waitingBytes);
+            }
         }
     }
 
     /** Serves a waiting connection if a thread is free, which missed it as it began to wait. */
     private void serveWaiting() {
-        Connection waiting = waitingForThread.poll();
+        Connection waiting = waitingConnections.poll();
         if (waiting != null && !startServing(waiting)) {
-            waitingForThread.add(waiting);
+            waitingConnections.add(waiting);
         }
     }
 
--- a/src/test/java/wallmoor/net/IncompleteRequestsTest.java
+++ b/src/test/java/wallmoor/net/IncompleteRequestsTest.java
@@ -1,6 +1,7 @@
 package wallmoor.net;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -18,6 +19,7 @@
     /** The heap of a gatherer on the platform. */
     private static final int HEAP_MB = 48;
     private static final int BAD_CLIENTS = 200;
+    private static final int LARGE_CLIENTS = 500;
     private static final int DEADLINE_MILLIS = 1_900;
     private static final long SOUND_NANOS = TimeUnit.SECONDS.toNanos(4);
     private static final String HALF_HEAD = "POST /api HTTP/1.1\r\nHost: h\r\nX-Requ";
@@ -36,7 +38,7 @@
         }
     }
 
-    private void start() throws Exception {
+    private void start(int memoryMb) throws Exception {
         var worker = new StandIn.Worker(id -> "ok");
         var discovery = new StandIn.Discovery();
         open.add(worker);
@@ -44,7 +46,8 @@
         port = Ports.free();
         String config = Program.config("t", Program.SEED, port, discovery.port(), worker.member("a", 0, "SERVING"),
                 1024);
-        program = Program.launch(config.replace("\"limits\":{", "\"limits\":{\"memory_mb\":64,"), null, HEAP_MB);
+        program = Program.launch(config.replace("\"limits\":{", "\"limits\":{\"memory_mb\":" + memoryMb + ","), null,
+                HEAP_MB);
         Program.awaitReady(port);
     }
 
@@ -60,7 +63,7 @@
 
     @Test
     public void answersOthersWhileClientsStopWithinFirstRequest() throws Exception {
-        start();
+        start(64);
         for (int i = 0; i < BAD_CLIENTS; i++) {
             var client = new Client(port);
             open.add(client);
@@ -71,7 +74,7 @@
 
     @Test
     public void answersOthersWhileClientsStopWithinSecondRequest() throws Exception {
-        start();
+        start(64);
         for (int i = 0; i < BAD_CLIENTS; i++) {
             var client = new Client(port);
             open.add(client);
@@ -79,4 +82,32 @@
         }
         assertSoundClientsAreAnswered();
     }
+
+    /** Guards against parts of large requests that together fill the heap. */
+    @Test
+    public void answersOthersWhileClientsStopWithinRequestsOfTheLargestSize() throws Exception {
+        start(192);
+        String head = "POST /api HTTP/1.1\r\nHost: h\r\n" + ("X-Pad: " + "p".repeat(290) + "\r\n").repeat(50)
+                + "Transfer-Encoding: chunked\r\n\r\n";
+        String chunks = "1\r\nx\r\n".repeat(20_000); // 120 KB on the wire, 20 KB of a body
+        Thread[] senders = new Thread[LARGE_CLIENTS];
+        for (int i = 0; i < LARGE_CLIENTS; i++) {
+            var client = new Client(port);
+            open.add(client);
+            senders[i] = new Thread(() -> {
+                try {
+                    client.send(head + chunks);
+                } catch (IOException e) {
+                    // refused before all was sent
+                }
+            });
+            senders[i].setDaemon(true);
+            senders[i].start();
+        }
+        assertSoundClientsAreAnswered();
+        for (Thread sender : senders) {
+            sender.join();
+        }
+        assertTrue("the program runs on", program.isAlive());
+    }
 }
