Refuse an id that comes again if a part of its query must not run twice

Cause: an id was free again once its cancelled attempt was no longer in flight, although the part may have run. Ids are new for each request by the protocol.

--- a/src/main/java/wallmoor/core/Gatherer.java
+++ b/src/main/java/wallmoor/core/Gatherer.java
@@ -66,7 +66,7 @@
         this.clock = clock;
         this.log = log;
         this.metrics = metrics;
-        requests = new OpenRequests(metrics, classNames);
+        requests = new OpenRequests(metrics, classNames, settings.classes(), clock);
         var workers = new WorkerRegistry();
         var watch = new WatchDemand(lock.newCondition());
         var round = new RoundState();
@@ -92,8 +92,9 @@
     /**
      * Opens a query; its thread then calls {@link #awaitStep} until it receives a final step.
      *
-     * @return the query; null if a query with this id is open, or if parts of an earlier query with this id are still
-     *         in flight, because a worker would treat the new parts as duplicates of those
+     * @return the query; null if a query with this id is open, if parts of an earlier query with this id are still
+     *         in flight, because a worker would treat the new parts as duplicates of those, or if a part of an earlier
+     *         query with this id may have run and must not run again
      */
     public Query open(QueryRequest request) {
         lock.lock();
--- a/src/main/java/wallmoor/core/GathererControl.java
+++ b/src/main/java/wallmoor/core/GathererControl.java
@@ -202,7 +202,7 @@
         lock.lock();
         try {
             driver.policy().onSettingsChanged(driver.advance(), next, removedClasses);
-            requests.setClassNames(classNames);
+            requests.setClasses(classNames, next.classes());
             actions.setMaxAttemptsPerCall(next.limits().maxBatch());
         } finally {
             lock.unlock();
--- a/src/main/java/wallmoor/core/OpenRequests.java
+++ b/src/main/java/wallmoor/core/OpenRequests.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.locks.Condition;
+import java.util.function.LongSupplier;
+import wallmoor.decision.QueryClass;
 import wallmoor.metrics.GathererMetrics;
 
 /**
@@ -17,20 +19,42 @@
     private final GathererMetrics metrics;
     private final Map<String, Query> openQueries = new HashMap<>();
     private final Map<String, Query> queriesByPartId = new HashMap<>();
+    private final EndedQueryIds endedIds = new EndedQueryIds();
+    private final LongSupplier clock;
     /** The names of the query classes, by index. */
     private List<String> classNames;
+    /** The query classes, by index. */
+    private List<QueryClass> classes;
     private long lastNumber;
     /** The time by which each query has its final step, microseconds on the gatherer's clock. */
     private long latestDeadline = Long.MAX_VALUE;
 
-    OpenRequests(GathererMetrics metrics, List<String> classNames) {
+    /**
+     * Creates the tables, with no query.
+     *
+     * @param clock the gatherer's clock (microseconds)
+     */
+    OpenRequests(GathererMetrics metrics, List<String> classNames, List<QueryClass> classes, LongSupplier clock) {
         this.metrics = metrics;
         this.classNames = classNames;
+        this.classes = classes;
+        this.clock = clock;
     }
 
-    /** Sets the names of the query classes; an open query keeps the name that its class had when it was opened. */
-    void setClassNames(List<String> names) {
+    /** Sets the query classes and their names; an open query keeps what its class was when it was opened. */
+    void setClasses(List<String> names, List<QueryClass> nextClasses) {
         classNames = names;
+        classes = nextClasses;
+    }
+
+    /** Returns whether a part of this query may run twice, or its workers recognise that it did. */
+    private boolean mayRunTwice(QueryRequest request) {
+        int index = Math.min(Math.max(request.queryClass(), 0), classes.size() - 1);
+        return switch (classes.get(index).idempotency()) {
+            case IDEMPOTENT -> true;
+            case WITH_KEY -> request.idempotencyKey() != null;
+            case NOT_IDEMPOTENT -> false;
+        };
     }
 
     private String className(int queryClass) {
@@ -39,7 +63,7 @@
 
     /** Creates a query, which is not in the tables yet, with a condition for its thread to wait on. */
     Query create(QueryRequest request, Condition stepAvailable) {
-        return new Query(request, className(request.queryClass()), latestDeadline, stepAvailable);
+        return new Query(request, className(request.queryClass()), mayRunTwice(request), latestDeadline, stepAvailable);
     }
 
     /** Limits the deadlines of the open queries and of all that are opened later; a limit is never raised. */
@@ -53,9 +77,12 @@
         return queryId + "." + shard;
     }
 
-    /** Returns whether a query with this id is open, or one of these parts of an earlier one may be in flight. */
+    /**
+     * Returns whether a query with this id is open, one of these parts of an earlier one may be in flight, or a part of
+     * an earlier one may have run that must not run again.
+     */
     boolean isInUse(String queryId, List<Query.PartRequest> parts) {
-        if (openQueries.containsKey(queryId)) {
+        if (openQueries.containsKey(queryId) || endedIds.contains(queryId, clock.getAsLong())) {
             return true;
         }
         for (Query.PartRequest part : parts) {
@@ -101,9 +128,15 @@
         query.stepAvailable.signalAll();
     }
 
-    /** Removes the parts of a query that has ended, unless an attempt is still in flight. */
+    /**
+     * Removes the parts of a query that has ended, unless an attempt is still in flight. Keeps the query's id if a part
+     * may have run that must not run again.
+     */
     void removePartsUnlessInFlight(Query query) {
         if (query.inFlight.isEmpty()) {
+            if (query.attemptMayHaveRun && !query.mayRunTwice) {
+                endedIds.add(query.id, clock.getAsLong());
+            }
             for (Query.QueryPart part : query.parts) {
                 queriesByPartId.remove(part.id);
             }
--- a/src/main/java/wallmoor/core/Query.java
+++ b/src/main/java/wallmoor/core/Query.java
@@ -46,6 +46,8 @@
     private long deadline;
     /** The key by which workers recognise a repeat of the query's parts; null for none. */
     private final String idempotencyKey;
+    /** Whether a part may run twice, or its workers recognise that it did. */
+    final boolean mayRunTwice;
     final Object attachment;
     /** Whether a part's value alone is enough; null if the query's class tells which share of the parts is. */
     private final Predicate<byte[]> decidingValue;
@@ -67,13 +69,15 @@
     /**
      * Creates a query without an attempt.
      *
+     * @param mayRunTwice    whether a part may run twice, or its workers recognise that it did
      * @param latestDeadline the time by which every query has to have its final step
      */
-    Query(QueryRequest request, String className, long latestDeadline, Condition stepAvailable) {
+    Query(QueryRequest request, String className, boolean mayRunTwice, long latestDeadline, Condition stepAvailable) {
         this.id = request.id();
         this.className = className;
         this.deadline = Math.min(request.deadline(), latestDeadline);
         this.idempotencyKey = request.idempotencyKey();
+        this.mayRunTwice = mayRunTwice;
         this.attachment = request.attachment();
         this.decidingValue = request.decidingValue();
         this.stepAvailable = stepAvailable;
