Give the heap what the memory limit leaves, and open connections by memory too

Callers saw: with memory_mb 64 and 300 clients that stop within a body the process reached 94 to 98 MB; over the limit the platform kills it. Cause: run gave the heap 48 MB whatever the limit, and garbage is collected only when the heap is full. Beside the heap the process needs some 45 MB, 29 of them files. Change: run reads memory_mb and sets the heap to that less 48 MB, 16 at least and 48 at most: from 96 MB on nothing changes. 7 open connections for each megabyte at most. A connection's buffer starts with the size of its first bytes; if paused parts of requests hold as much again as their share, further large ones are refused at once. Evidence: StartTest.givesTheHeapWhatTheMemoryLimitLeaves fails for the former line, which has -Xmx48m for 64 MB.

--- a/src/main/java/wallmoor/config/LaunchConfig.java
+++ b/src/main/java/wallmoor/config/LaunchConfig.java
@@ -48,6 +48,8 @@
     /** The number of client connections that fit a megabyte, each with the thread and the buffers of an active one. */
     private static final int CLIENTS_PER_MB = 3;
     private static final int MIN_CLIENTS = 32;
+    /** The number of open connections that fit a megabyte, where most hold no more than a small part of a request. */
+    private static final int OPEN_CLIENTS_PER_MB = 7;
     /** Clients get their share of this many descriptors, whatever else needs some; with fewer there is no guarantee. */
     private static final int MIN_SHARED_DESCRIPTORS = 64;
     /** A watch that is closing, its successor, and a connection that waits to be accepted at each listening address. */
@@ -70,13 +72,14 @@
     /**
      * Returns the maximum number of open client connections. Of eight descriptors, five are for clients, two for
      * workers, and one for discovery and the program's own files; where these need more, clients get what is left.
-     * Well-behaved clients use a third of them for requests; the rest absorbs clients that misbehave.
+     * Well-behaved clients use a third of them for requests; the rest absorbs clients that misbehave. Little memory
+     * allows fewer.
      */
     public int maxOpenClientConnections() {
         int reserved = maxWorkerConnections() + maxAdminConnections() + DISCOVERY_DESCRIPTORS
                 + DescriptorReserve.needed();
         int byDescriptors = Math.max(Math.min(MIN_SHARED_DESCRIPTORS, sockets) * 5 / 8, sockets - reserved);
-        return Math.min(sockets * 5 / 8, byDescriptors);
+        return Math.min(Math.min(sockets * 5 / 8, byDescriptors), memoryMb * OPEN_CLIENTS_PER_MB);
     }
 
     /** Returns the maximum number of admin connections; only a few operators and a metrics collector use them. */
--- a/src/main/java/wallmoor/http/ByteQuota.java
+++ b/src/main/java/wallmoor/http/ByteQuota.java
@@ -39,6 +39,11 @@
         return usedBytes.get() > capacityBytes;
     }
 
+    /** Returns whether more than twice as many bytes are used as there are. */
+    boolean isExceededTwice() {
+        return usedBytes.get() > 2 * capacityBytes;
+    }
+
     /** Returns the number of bytes left; negative if more are used than there are. */
     long freeBytes() {
         return capacityBytes - usedBytes.get();
--- a/src/main/java/wallmoor/http/IncomingBytes.java
+++ b/src/main/java/wallmoor/http/IncomingBytes.java
@@ -64,7 +64,8 @@
             arrivedAt = System.nanoTime();
         }
         if (limit + added > bytes.length) {
-            byte[] larger = new byte[Math.max(INITIAL_BUFFER_BYTES, 2 * (limit - position + added))];
+            int unread = limit - position;
+            byte[] larger = new byte[Math.max(INITIAL_BUFFER_BYTES, Math.max(unread + added, 2 * unread))];
             System.arraycopy(bytes, position, larger, 0, limit - position);
             bytes = larger;
             limit -= position;
--- a/src/main/java/wallmoor/http/Server.java
+++ b/src/main/java/wallmoor/http/Server.java
@@ -287,13 +287,18 @@
 
     /**
      * Returns whether a connection is not to be read for now: it holds a part of a large request while those being
-     * received hold too much memory. It is read again once there is memory. Small requests are never held up.
+     * received hold too much memory. It is read again once there is memory. If even those paused hold as much again, its
+     * request is refused. Small requests are never held up.
      */
     boolean pausesReading(Connection connection) {
         if (!bufferedBytes.isExceeded() || connection.bufferedBytes() <= MAX_UNPAUSED_BYTES) {
             return false;
         }
-        pausedConnections.add(connection);
+        if (bufferedBytes.isExceededTwice()) {
+            connection.refuseIncompleteRequest(0);
+        } else {
+            pausedConnections.add(connection);
+        }
         return true;
     }
 
--- a/src/test/java/wallmoor/net/StartTest.java
+++ b/src/test/java/wallmoor/net/StartTest.java
@@ -4,6 +4,7 @@
 import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -76,6 +77,29 @@
         assertTrue(lambdas.toString(), lambdas.size() <= MAX_JDK_LAMBDAS);
     }
 
+    /** Guards against a heap that alone takes most of a small memory limit, so that the process passes it under load. */
+    @Test
+    public void givesTheHeapWhatTheMemoryLimitLeaves() throws Exception {
+        assertEquals("-Xmx48m", heapOption("{\"limits\":{\"cores\":0.5, \"memory_mb\": 192}}"));
+        assertEquals("-Xmx48m", heapOption("{\"limits\":{\"memory_mb\":128,\"sockets\":1024}}"));
+        assertEquals("-Xmx48m", heapOption("{\"limits\":{\"memory_mb\":96}}"));
+        assertEquals("-Xmx32m", heapOption("{\"limits\":{\"memory_mb\":80}}"));
+        assertEquals("-Xmx16m", heapOption("{\"limits\":{\"memory_mb\":64}}"));
+        assertEquals("-Xmx16m", heapOption("{\"limits\":{\"memory_mb\":32}}"));
+        assertEquals("without a limit", "-Xmx48m", heapOption("{\"limits\":{}}"));
+    }
+
+    /** Returns the option for the largest heap with which {@code run} starts Java for this configuration. */
+    private String heapOption(String config) throws Exception {
+        Path file = Files.writeString(folder.newFile().toPath(), config);
+        String command = command("run").replace(" exec java ", " exec echo ");
+        Process process = sh(folder.getRoot().toPath(), command, file, "");
+        String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+        return Stream.of(output.trim().split(" ")).filter(option -> option.startsWith("-Xmx")).findFirst()
+                .orElse(output);
+    }
+
     private static boolean isReady(int port) {
         try {
             return Client.get(port, "/-/ready").status == 200;
