Share ids that must not run twice between the processes of an upgrade

Cause: each process knew the ids of its own queries only. Change: while there are several processes, each appends the ids of such queries to a file in the shared directory before it opens them, then reads what the others appended, so that at least one of two processes sees the other's claim (SharedQueryIds). The ids known so far are written when a second process appears; those of a process that has ended are known for 60 s. Nothing is written while a process is alone.

--- a/src/main/java/wallmoor/core/EndedQueryIds.java
+++ b/src/main/java/wallmoor/core/EndedQueryIds.java
@@ -3,6 +3,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The ids of ended queries of which a part may have run and must not run again. A client that leaves and sends its
@@ -31,6 +32,11 @@
         return expiry != null && now < expiry;
     }
 
+    /** Returns all ids, including some that have just expired. */
+    Set<String> ids() {
+        return expiryById.keySet();
+    }
+
     private void removeExpired(long now) {
         Iterator<Long> expiries = expiryById.values().iterator();
         while (expiries.hasNext() && (expiries.next() <= now || expiryById.size() > MAX_IDS)) {
--- a/src/main/java/wallmoor/core/Gatherer.java
+++ b/src/main/java/wallmoor/core/Gatherer.java
@@ -94,9 +94,12 @@
      *
      * @return the query; null if a query with this id is open, if parts of an earlier query with this id are still
      *         in flight, because a worker would treat the new parts as duplicates of those, or if a part of an earlier
-     *         query with this id may have run and must not run again
+     *         query with this id, here or at another process, may have run and must not run again
      */
     public Query open(QueryRequest request) {
+        if (!requests.mayRunTwice(request) && !control.idClaims().claim(request.id())) {
+            return null;
+        }
         lock.lock();
         try {
             if (requests.isInUse(request.id(), request.parts())) {
--- a/src/main/java/wallmoor/core/GathererControl.java
+++ b/src/main/java/wallmoor/core/GathererControl.java
@@ -28,6 +28,7 @@
     private final OpenRequests requests;
     private final WorkerRegistry workers;
     private final WatchDemand watch;
+    private volatile QueryIdClaims idClaims = QueryIdClaims.NONE;
 
     GathererControl(ReentrantLock lock, LongSupplier clock, PolicyDriver driver, PolicyActions actions,
             OpenRequests requests, WorkerRegistry workers, WatchDemand watch) {
@@ -40,6 +41,27 @@
         this.watch = watch;
     }
 
+    // ---- the ids of queries -------------------------------------------------------------------------------
+
+    /** Sets how ids are claimed among the processes of this gatherer. */
+    public void setIdClaims(QueryIdClaims claims) {
+        idClaims = claims;
+    }
+
+    QueryIdClaims idClaims() {
+        return idClaims;
+    }
+
+    /** Returns the ids of the queries, open or recently ended, of which a part must not run twice. */
+    public List<String> singleRunIds() {
+        lock.lock();
+        try {
+            return requests.singleRunIds();
+        } finally {
+            lock.unlock();
+        }
+    }
+
     // ---- the endpoint list --------------------------------------------------------------------------------
 
     /** Starts the policy with the last known endpoint list. */
--- a/src/main/java/wallmoor/core/OpenRequests.java
+++ b/src/main/java/wallmoor/core/OpenRequests.java
@@ -1,5 +1,6 @@
 package wallmoor.core;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,7 +25,7 @@
     /** The names of the query classes, by index. */
     private List<String> classNames;
     /** The query classes, by index. */
-    private List<QueryClass> classes;
+    private volatile List<QueryClass> classes;
     private long lastNumber;
     /** The time by which each query has its final step, microseconds on the gatherer's clock. */
     private long latestDeadline = Long.MAX_VALUE;
@@ -47,8 +48,17 @@
         classes = nextClasses;
     }
 
-    /** Returns whether a part of this query may run twice, or its workers recognise that it did. */
-    private boolean mayRunTwice(QueryRequest request) {
+    /** Returns the ids of the queries, open or recently ended, of which a part must not run twice. */
+    List<String> singleRunIds() {
+        var ids = new ArrayList<String>(endedIds.ids());
+        openQueries.values().stream().filter(query -> !query.mayRunTwice).forEach(query -> ids.add(query.id));
+        return ids;
+    }
+
+    /**
+     * Returns whether a part of this query may run twice, or its workers recognise that it did. Needs no lock.
+     */
+    boolean mayRunTwice(QueryRequest request) {
         int index = Math.min(Math.max(request.queryClass(), 0), classes.size() - 1);
         return switch (classes.get(index).idempotency()) {
             case IDEMPOTENT -> true;
--- a/src/main/java/wallmoor/service/Service.java
+++ b/src/main/java/wallmoor/service/Service.java
@@ -26,6 +26,7 @@
 import wallmoor.upgrade.HeartbeatFiles;
 import wallmoor.upgrade.ProcessPosition;
 import wallmoor.upgrade.QuotaUser;
+import wallmoor.upgrade.SharedQueryIds;
 
 /** A gatherer with all components that its configuration enables; can be started, reloaded and shut down. */
 public final class Service {
@@ -51,6 +52,8 @@
     private final RulesService rules;
     private final Operations operations;
     private final HeartbeatFiles heartbeats;
+    /** Null unless another process may serve as this gatherer during an upgrade. */
+    private final SharedQueryIds sharedIds;
     private volatile boolean ready;
     private volatile boolean shuttingDown;
     /** Guards {@link #ready}, which a start and a shutdown may set at the same time. */
@@ -99,6 +102,12 @@
         operations = launch.admin() == null ? null
                 : new Operations(launch, effectiveSettings::launch, clock, nodes.gatherer(), metrics, () -> ready,
                         shared);
+        sharedIds = shared == null || !launch.isSocketInherited()
+                ? null
+                : new SharedQueryIds(shared, clock, nodes.gatherer().control()::singleRunIds);
+        if (sharedIds != null) {
+            nodes.gatherer().control().setIdClaims(sharedIds::claim);
+        }
         heartbeats = shared == null || !launch.isSocketInherited()
                 ? null
                 : new HeartbeatFiles(shared, clock, new OpenQueryQuota(), this::onPositionChanged);
@@ -130,6 +139,7 @@
     /** Divides the gatherer's limits among its processes: during an upgrade an old and a new one serve together. */
     private void onPositionChanged(ProcessPosition position) {
         platform.setProcessCount(position.count());
+        sharedIds.setProcessCount(position.count());
         if (group == null) {
             RoutingSettings settings = launch.settings();
             nodes.gatherer().control().setFleetPosition(settings.gatherers() * position.count(),
