--- a/src/test/java/wallmoor/verify/KnownFailuresTest.java
+++ b/src/test/java/wallmoor/verify/KnownFailuresTest.java
@@ -93,6 +93,25 @@
         assertEquals(List.of(), KnownFailures.judge(lines.subList(0, 3), three).problems());
     }
 
+    @Test
+    public void printsACommandAndRejectsOneThatMatchesNothing() {
+        String start = "command mvn -B test -Dtest=";
+        String existing = start + KnownFailures.class.getName();
+        String line = existing + ": seed 5: closes too early; issue 30";
+        var verdict = KnownFailures.judge(List.of(line, LINE), Map.of(TEST, TestOutcome.FAILED));
+        assertEquals(List.of("known failure, not run: " + line, "known failure: " + LINE), verdict.known());
+        assertEquals(List.of(), verdict.problems());
+        assertProblem("no such class", List.of(line.replace("KnownFailures", "Gone")), Map.of());
+        assertProblem("has to be listed as a test", List.of(line),
+                Map.of(KnownFailures.class.getName() + "#method", TestOutcome.PASSED));
+        for (String bad : List.of(existing + ": closes too early; issue 30", existing + ": seed : closes; issue 30",
+                existing + ": seed 5: ; issue 30", existing + ": seed 5: closes", start + ": seed 5: closes; issue 30",
+                "command true: seed 5: closes; issue 30")) {
+            assertProblem("not of the form", List.of(bad), Map.of());
+        }
+        assertProblem("4 lines", List.of(line, line, line, line), Map.of());
+    }
+
     @Test
     public void rejectsALineWithoutCauseOrIssue() {
         for (String line : List.of(TEST, TEST + ": closes too early", TEST + "; issue 30", "",
