--- a/src/main/java/wallmoor/http/Connection.java
+++ b/src/main/java/wallmoor/http/Connection.java
@@ -7,76 +7,31 @@
 
 /**
  * A client's connection. The selector's thread alone watches it and collects the bytes received, until a request is
- * complete. From then to its answer, a thread of the pool parses the request, handles it and writes the answer. A client
- * that is slow to send a request, or never sends the rest, therefore has neither a thread nor a share of the limit on
- * requests.
+ * complete. From then to its answer, a thread of the pool parses the request, handles it and writes the answer. A
+ * client that is slow to send a request, or never sends the rest, therefore has neither a thread nor a share of the
+ * limit on requests.
  *
  * <p>The {@link IncomingBytes} object is the lock of the state. Reading from the channel and closing the connection
  * from this side are each a single step under that lock: a request read before the close is answered, and bytes read
  * after it are discarded. {@code docs/connections.md} lists the states, their events and the tests of the transitions.
  */
 final class Connection {
-    /** The state of a connection. */
-    enum ConnectionState {
-        /** No byte has been received. */
-        NEW,
-        /** A part of the first request has been received. */
-        FIRST_REQUEST,
-        /** A part of a later request has been received. */
-        LATER_REQUEST,
-        /** A complete request waits for a thread or is being handled. */
-        ACTIVE,
-        /**
-         * Between requests, none of which was client work; health checks usually use a new connection each time.
-         */
-        IDLE_UNUSED,
-        /** Between requests. */
-        IDLE,
-        /**
-         * The output is closed; received bytes are discarded until the client closes, too, or a time limit has passed.
-         */
-        CLOSING,
-        /** Closed in both directions. */
-        CLOSED;
-
-        /** Returns whether a part of a request has been received, and not all of it. */
-        boolean isIncomplete() {
-            return this == FIRST_REQUEST || this == LATER_REQUEST;
-        }
-
-        /** Returns whether a request is being served, or one was and the connection waits for the next. */
-        boolean isInUse() {
-            return this == ACTIVE || isIdle();
-        }
-
-        private boolean isIdle() {
-            return this == IDLE || this == IDLE_UNUSED;
-        }
-    }
-
     /** After an error, received bytes are discarded until this time after connecting. */
     static final long ERROR_LINGER_MILLIS = 5_200;
     /** After the last answer, or when an idle connection is closed, received bytes are discarded for this time. */
     static final long LINGER_MILLIS = 500;
-    private static final byte[] BUSY_RESPONSE = HttpWriter.response(503, "Retry-After: 1\r\n",
-            HttpExchange.plainText("too much at work"),
-            true, false);
-    private static final byte[] TIMEOUT_RESPONSE = HttpWriter.response(408, "",
-            HttpExchange.plainText("half a message, then silence"), true, false);
-    private static final byte[] TOO_LARGE_RESPONSE = HttpWriter.response(413, "",
-            HttpExchange.plainText("request too large"), true, false);
     /** The time for reading a request of which all bytes have been received. */
     private static final int COMPLETE_REQUEST_READ_MILLIS = 1_000;
 
     private final Server server;
     private final ConnectionOutput output;
+    private final ConnectionWriter writer;
     private final IncomingBytes incoming;
     private final HttpReader reader;
     private final long openedAt = System.nanoTime();
     /** Modified only while holding the lock on {@link #incoming}. */
     private volatile ConnectionState state = ConnectionState.NEW;
     private volatile long stateSince = openedAt;
-    private volatile long writeStartedAt;
     private volatile long lingerUntil;
     /** The bytes held by {@link #incoming} as last reported to the server; modified only while holding its lock. */
     private volatile int bufferedBytes;
@@ -92,10 +47,16 @@
     Connection(Server server, ConnectionOutput output) {
         this.server = server;
         this.output = output;
+        writer = new ConnectionWriter(output);
         incoming = new IncomingBytes(IncomingBytes.MAX_REQUEST_BYTES, output::resume);
         reader = new HttpReader(incoming);
     }
 
+    /** Returns the writer of answers. If the client reads nothing for too long, {@link #closeExpired} closes. */
+    ConnectionWriter writer() {
+        return writer;
+    }
+
     ConnectionState state() {
         return state;
     }
@@ -184,10 +145,10 @@
         if (isRequestComplete()) {
             transitionTo(ConnectionState.ACTIVE);
             if (!server.startServing(this)) {
-                offerAndClose(BUSY_RESPONSE);
+                offerAndClose(ConnectionResponses.BUSY);
             }
         } else if (!hasSpace) {
-            offerAndClose(TOO_LARGE_RESPONSE);
+            offerAndClose(ConnectionResponses.TOO_LARGE);
         }
     }
 
@@ -221,13 +182,6 @@
         }
     }
 
-    /** Wakes up the writer, as the channel accepts bytes again. */
-    void onWritable() {
-        synchronized (output) {
-            output.notifyAll();
-        }
-    }
-
     /** Offers a response to a request that is not served, and closes the connection gracefully. */
     private void offerAndClose(byte[] response) {
         if (offer(response)) {
@@ -336,28 +290,6 @@
         }
     }
 
-    /** Writes an answer. If the client reads nothing for too long, {@link #closeExpired} closes the connection. */
-    void write(byte[] answer) throws IOException {
-        writeStartedAt = System.nanoTime();
-        try {
-            output.write(answer);
-        } finally {
-            writeStartedAt = 0;
-        }
-    }
-
-    /** Waits until the channel may accept bytes again, at most for this time. */
-    void awaitWritable(long millis) throws IOException {
-        try {
-            synchronized (output) {
-                output.wait(millis);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted while writing");
-        }
-    }
-
     // ---- closing ------------------------------------------------------------------------------------------
 
     /**
@@ -368,8 +300,7 @@
      * @param idleMillis  the idle timeout
      */
     void closeExpired(long now, long writeMillis, long idleMillis) {
-        long startedAt = writeStartedAt;
-        if (startedAt != 0 && now - startedAt > TimeUnit.MILLISECONDS.toNanos(writeMillis)) {
+        if (writer.hasBeenWriting(now, writeMillis)) {
             close();
         }
         if (state == ConnectionState.CLOSING && now - lingerUntil >= 0) {
@@ -390,7 +321,7 @@
             long ageNanos = now - (isFirst ? openedAt : stateSince);
             long timeoutMillis = isFirst ? server.timeouts().firstRequest() : server.timeouts().request();
             if (state.isIncomplete() && ageNanos >= TimeUnit.MILLISECONDS.toNanos(timeoutMillis)) {
-                offerAndClose(TIMEOUT_RESPONSE);
+                offerAndClose(ConnectionResponses.TIMEOUT);
             }
         }
     }
@@ -450,7 +381,7 @@
             close = hasBeenIn(expected, millis);
             if (close) {
                 if (expected.isIncomplete()) {
-                    offer(BUSY_RESPONSE); // its request may have become complete just now
+                    offer(ConnectionResponses.BUSY); // its request may have become complete just now
                 }
                 close();
             }
@@ -462,7 +393,7 @@
     void refuseIncompleteRequest(long millis) {
         synchronized (incoming) {
             if (state.isIncomplete() && hasBeenIn(state, millis)) {
-                offerAndClose(BUSY_RESPONSE);
+                offerAndClose(ConnectionResponses.BUSY);
             }
         }
     }
--- a/src/main/java/wallmoor/http/ConnectionSelector.java
+++ b/src/main/java/wallmoor/http/ConnectionSelector.java
@@ -68,7 +68,7 @@
         try {
             if (key.isWritable()) {
                 key.interestOpsAnd(~SelectionKey.OP_WRITE);
-                connection.onWritable();
+                connection.writer().onWritable();
             }
             if (key.isReadable()) {
                 read(key, connection);
@@ -128,7 +128,7 @@
                 remaining.limit(Math.min(bytes.length, remaining.position() + MAX_WRITE_BYTES));
                 if (channel.write(remaining) == 0) {
                     addInterest(SelectionKey.OP_WRITE);
-                    connection.awaitWritable(WRITE_CHECK_INTERVAL_MILLIS);
+                    connection.writer().awaitWritable(WRITE_CHECK_INTERVAL_MILLIS);
                 }
             }
         }
--- a/src/main/java/wallmoor/http/Eviction.java
+++ b/src/main/java/wallmoor/http/Eviction.java
@@ -1,7 +1,5 @@
 package wallmoor.http;
 
-import wallmoor.http.Connection.ConnectionState;
-
 /**
  * Decides which connection is evicted for a queued one when a server has its maximum number of connections. It has no
  * access to sockets or clocks: its input is how long the oldest connection in each state has been in that state.
--- a/src/main/java/wallmoor/http/HttpExchange.java
+++ b/src/main/java/wallmoor/http/HttpExchange.java
@@ -69,7 +69,7 @@
         }
         keepAlive &= !server.isClosingAfterAnswers();
         try {
-            connection.write(HttpWriter.response(status, headers, body, withBody, keepAlive));
+            connection.writer().write(HttpWriter.response(status, headers, body, withBody, keepAlive));
         } catch (IOException e) {
             keepAlive = false;
             throw e;
--- a/src/main/java/wallmoor/http/IncomingBytes.java
+++ b/src/main/java/wallmoor/http/IncomingBytes.java
@@ -164,19 +164,8 @@
 
     @Override
     public synchronized int read(byte[] to, int from, int length) throws InterruptedIOException {
-        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-        try {
-            while ((position == limit || readable == 0) && !ended && !truncated && length > 0) {
-                long remainingMillis = timeoutMillis == 0 ? 0
-                        : TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime() + 999_999);
-                if (remainingMillis < 0 || (remainingMillis == 0 && timeoutMillis != 0)) {
-                    throw new SocketTimeoutException("no bytes received within " + timeoutMillis + " ms");
-                }
-                wait(remainingMillis);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new InterruptedIOException("interrupted while waiting for bytes");
+        if (length > 0) {
+            awaitBytes();
         }
         if (position == limit || readable == 0) {
             return length == 0 ? 0 : -1;
@@ -193,4 +182,22 @@
         }
         return count;
     }
+
+    /** Waits until a byte can be read or the stream has ended, at most for the timeout. */
+    private synchronized void awaitBytes() throws InterruptedIOException {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+        try {
+            while ((position == limit || readable == 0) && !ended && !truncated) {
+                long remainingMillis = timeoutMillis == 0 ? 0
+                        : TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime() + 999_999);
+                if (remainingMillis < 0 || (remainingMillis == 0 && timeoutMillis != 0)) {
+                    throw new SocketTimeoutException("no bytes received within " + timeoutMillis + " ms");
+                }
+                wait(remainingMillis);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted while waiting for bytes");
+        }
+    }
 }
--- a/src/main/java/wallmoor/http/Server.java
+++ b/src/main/java/wallmoor/http/Server.java
@@ -17,7 +17,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
-import wallmoor.http.Connection.ConnectionState;
 
 /**
  * An HTTP/1.1 server. One thread watches the connections and collects their bytes; a blocking thread of a pool handles
@@ -287,8 +286,8 @@
 
     /**
      * Returns whether a connection is not to be read for now: it holds a part of a large request while those being
-     * received hold too much memory. It is read again once there is memory. If even those paused hold as much again, its
-     * request is refused. Small requests are never held up.
+     * received hold too much memory. It is read again once there is memory. If even those paused hold as much again,
+     * its request is refused. Small requests are never held up.
      */
     boolean pausesReading(Connection connection) {
         if (!bufferedBytes.isExceeded() || connection.bufferedBytes() <= MAX_UNPAUSED_BYTES) {
--- a/src/main/java/wallmoor/json/Json.java
+++ b/src/main/java/wallmoor/json/Json.java
@@ -1,6 +1,5 @@
 package wallmoor.json;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/src/main/java/wallmoor/json/JsonNumbers.java
+++ b/src/main/java/wallmoor/json/JsonNumbers.java
@@ -22,21 +22,27 @@
         if (i == start || (i > start + 1 && bytes[start] == '0')) {
             return false;
         }
-        if (i < to && bytes[i] == '.') {
-            start = i + 1;
-            i = skipDigits(bytes, start, to);
-            if (i == start) {
-                return false;
-            }
+        int afterFraction = skipFraction(bytes, i, to);
+        return afterFraction >= 0 && skipExponent(bytes, afterFraction, to) == to;
+    }
+
+    /** Returns the index after the fraction at an index, the index itself if there is none, or -1 for a faulty one. */
+    private static int skipFraction(byte[] bytes, int from, int to) {
+        if (from >= to || bytes[from] != '.') {
+            return from;
         }
-        if (i < to && (bytes[i] == 'e' || bytes[i] == 'E')) {
-            start = i + (i + 1 < to && (bytes[i + 1] == '+' || bytes[i + 1] == '-') ? 2 : 1);
-            i = skipDigits(bytes, start, to);
-            if (i == start) {
-                return false;
-            }
+        int i = skipDigits(bytes, from + 1, to);
+        return i == from + 1 ? -1 : i;
+    }
+
+    /** Returns the index after the exponent at an index, the index itself if there is none, or -1 for a faulty one. */
+    private static int skipExponent(byte[] bytes, int from, int to) {
+        if (from >= to || (bytes[from] != 'e' && bytes[from] != 'E')) {
+            return from;
         }
-        return i == to;
+        int digits = from + (from + 1 < to && (bytes[from + 1] == '+' || bytes[from + 1] == '-') ? 2 : 1);
+        int i = skipDigits(bytes, digits, to);
+        return i == digits ? -1 : i;
     }
 
     private static int skipDigits(byte[] bytes, int from, int to) {
--- a/src/test/java/wallmoor/http/ConnectionCrossingsTest.java
+++ b/src/test/java/wallmoor/http/ConnectionCrossingsTest.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.junit.Test;
-import wallmoor.http.Connection.ConnectionState;
 
 /**
  * Tests races between received bytes and the server's close of a connection, in both orders: one side is blocked within
--- a/src/test/java/wallmoor/http/EvictionTest.java
+++ b/src/test/java/wallmoor/http/EvictionTest.java
@@ -5,7 +5,6 @@
 import static org.junit.Assert.assertTrue;
 
 import org.junit.Test;
-import wallmoor.http.Connection.ConnectionState;
 
 /** Tests which connection is evicted at the maximum number of connections, for ages around each timeout. */
 public class EvictionTest {
--- a/src/test/java/wallmoor/net/CoapFlood.java
+++ b/src/test/java/wallmoor/net/CoapFlood.java
@@ -13,8 +13,8 @@
 
 /**
  * One peer sends CoAP requests of unknown devices under ever new names at full speed, and the platform's clients send
- * queries meanwhile. It shows a known fault and is named by {@code KNOWN-RED.txt}; its name keeps it out of the tests of
- * a build. Run it by {@code mvn -B test -Dtest=wallmoor.net.CoapFlood}.
+ * queries meanwhile. It shows a known fault and is named by {@code KNOWN-RED.txt}; its name keeps it out of the tests
+ * of a build. Run it by {@code mvn -B test -Dtest=wallmoor.net.CoapFlood}.
  */
 public class CoapFlood extends EdgeFixture {
     private static final long FLOOD_NANOS = TimeUnit.SECONDS.toNanos(8);
--- a/src/test/java/wallmoor/net/IncompleteRequestsTest.java
+++ b/src/test/java/wallmoor/net/IncompleteRequestsTest.java
@@ -12,8 +12,8 @@
 import wallmoor.standin.Ports;
 
 /**
- * Guards against clients that stop in the middle of a request and hold all connections and threads, so that the requests
- * of other clients stay unread until their deadlines are over.
+ * Guards against clients that stop in the middle of a request and hold all connections and threads, so that the
+ * requests of other clients stay unread until their deadlines are over.
  */
 public class IncompleteRequestsTest {
     /** The heap of a gatherer on the platform. */
--- a/src/test/java/wallmoor/verify/KnownFailures.java
+++ b/src/test/java/wallmoor/verify/KnownFailures.java
@@ -26,8 +26,8 @@
  *
  * <p>A test of the first form has to fail. A test of the second form fails in some runs only, with the seed or under
  * the load that the line names: both its failures and its passes are printed, and neither fails the build. A command
- * is not run by the build; its line is printed. The seed is {@code none} where nothing is drawn. The class that it names
- * has to exist and must not be among the tests that were run.
+ * is not run by the build; its line is printed. The seed is {@code none} where nothing is drawn. The class that it
+ * names has to exist and must not be among the tests that were run.
  */
 public final class KnownFailures {
     /** The maximum number of tests in the list, and of commands. */
