Use one rule for what may run twice, one condition and one count of repeated parts

OpenRequests had its own copy of the rule by which the policy treats a class without a key as one that must not run twice; both use QueryClass now. Service tested twice whether processes may share a directory. RepeatedIdInUpgradeTest counted parts as UpgradeTest does; HeldFleet has that count. IncompleteRequestsTest had one loop twice. No behaviour and no assertion changes.

--- a/src/main/java/wallmoor/core/OpenRequests.java
+++ b/src/main/java/wallmoor/core/OpenRequests.java
@@ -60,11 +60,7 @@
      */
     boolean mayRunTwice(QueryRequest request) {
         int index = Math.min(Math.max(request.queryClass(), 0), classes.size() - 1);
-        return switch (classes.get(index).idempotency()) {
-            case IDEMPOTENT -> true;
-            case WITH_KEY -> request.idempotencyKey() != null;
-            case NOT_IDEMPOTENT -> false;
-        };
+        return classes.get(index).mayRunTwice(request.idempotencyKey() != null);
     }
 
     private String className(int queryClass) {
--- a/src/main/java/wallmoor/decision/QueryClass.java
+++ b/src/main/java/wallmoor/decision/QueryClass.java
@@ -24,6 +24,12 @@
         return idempotency == Idempotency.WITH_KEY;
     }
 
+    /** Returns whether a part of a query may run twice, or its store recognises that by the query's key. */
+    public boolean mayRunTwice(boolean withIdempotencyKey) {
+        QueryClass asApplied = withIdempotencyKey ? this : withoutIdempotencyKey();
+        return asApplied.idempotency != Idempotency.NOT_IDEMPOTENT;
+    }
+
     /**
      * Returns the class as it applies to a query without an idempotency key: where a store needs the key to recognise
      * a repeat, a part that may have been executed must not be sent again.
--- a/src/main/java/wallmoor/service/Service.java
+++ b/src/main/java/wallmoor/service/Service.java
@@ -102,15 +102,16 @@
         operations = launch.admin() == null ? null
                 : new Operations(launch, effectiveSettings::launch, clock, nodes.gatherer(), metrics, () -> ready,
                         shared);
-        sharedIds = shared == null || !launch.isSocketInherited()
-                ? null
-                : new SharedQueryIds(shared, clock, nodes.gatherer().control()::singleRunIds);
-        if (sharedIds != null) {
+        boolean mayBeUpgraded = shared != null && launch.isSocketInherited();
+        sharedIds = mayBeUpgraded
+                ? new SharedQueryIds(shared, clock, nodes.gatherer().control()::singleRunIds)
+                : null;
+        if (mayBeUpgraded) {
             nodes.gatherer().control().setIdClaims(sharedIds::claim);
         }
-        heartbeats = shared == null || !launch.isSocketInherited()
-                ? null
-                : new HeartbeatFiles(shared, clock, new OpenQueryQuota(), this::onPositionChanged);
+        heartbeats = mayBeUpgraded
+                ? new HeartbeatFiles(shared, clock, new OpenQueryQuota(), this::onPositionChanged)
+                : null;
     }
 
     /** The quota of queries and parts in flight, whose sum over all processes of the gatherer the settings limit. */
--- a/src/test/java/wallmoor/net/HeldFleet.java
+++ b/src/test/java/wallmoor/net/HeldFleet.java
@@ -6,6 +6,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Rule;
@@ -66,6 +68,14 @@
         return workers.get(worker).count("Q");
     }
 
+    /** Returns the parts whose ids begin so that reached workers more than once, with the number of times. */
+    final Map<String, Long> repeatedParts(String idPrefix) {
+        return workers.stream().flatMap(w -> List.copyOf(w.seen).stream()).filter(s -> s.startsWith("Q" + idPrefix))
+                .map(s -> s.split(" ")[0]).collect(Collectors.groupingBy(s -> s, Collectors.counting()))
+                .entrySet().stream().filter(e -> e.getValue() > 1)
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+    }
+
     /** Checks for a while that the worker receives no parts. */
     final void assertLeftOut(String when, int worker) throws Exception {
         long before = parts(worker);
--- a/src/test/java/wallmoor/net/IncompleteRequestsTest.java
+++ b/src/test/java/wallmoor/net/IncompleteRequestsTest.java
@@ -61,26 +61,26 @@
         }
     }
 
-    @Test
-    public void answersOthersWhileClientsStopWithinFirstRequest() throws Exception {
+    /** Sends this text on each of many connections and leaves them open; others must be answered meanwhile. */
+    private void assertOthersAreAnsweredWhileClientsStopAfter(String text) throws Exception {
         start(64);
         for (int i = 0; i < BAD_CLIENTS; i++) {
             var client = new Client(port);
             open.add(client);
-            client.send("POST /api HTTP/1.1\r\nHost: h\r\nContent-Length: 65000\r\n\r\n" + "x".repeat(30_000));
+            client.send(text);
         }
         assertSoundClientsAreAnswered();
     }
 
+    @Test
+    public void answersOthersWhileClientsStopWithinFirstRequest() throws Exception {
+        assertOthersAreAnsweredWhileClientsStopAfter(
+                "POST /api HTTP/1.1\r\nHost: h\r\nContent-Length: 65000\r\n\r\n" + "x".repeat(30_000));
+    }
+
     @Test
     public void answersOthersWhileClientsStopWithinSecondRequest() throws Exception {
-        start(64);
-        for (int i = 0; i < BAD_CLIENTS; i++) {
-            var client = new Client(port);
-            open.add(client);
-            client.send("GET /none HTTP/1.1\r\nHost: h\r\n\r\n" + HALF_HEAD);
-        }
-        assertSoundClientsAreAnswered();
+        assertOthersAreAnsweredWhileClientsStopAfter("GET /none HTTP/1.1\r\nHost: h\r\n\r\n" + HALF_HEAD);
     }
 
     /** Guards against parts of large requests that together fill the heap. */
--- a/src/test/java/wallmoor/net/RepeatedIdInUpgradeTest.java
+++ b/src/test/java/wallmoor/net/RepeatedIdInUpgradeTest.java
@@ -4,9 +4,7 @@
 import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
-import java.util.List;
 import java.util.Map;
-import java.util.stream.Collectors;
 import org.junit.Test;
 
 /** Guards against a hold that begins at both processes of an upgrade, as its id came again after its client left. */
@@ -45,14 +43,6 @@
         }
     }
 
-    private Map<String, Long> partsBegunTwice() {
-        return workers.stream().flatMap(worker -> List.copyOf(worker.seen).stream())
-                .filter(frame -> frame.startsWith("Qhold")).map(frame -> frame.split(" ")[0])
-                .collect(Collectors.groupingBy(part -> part, Collectors.counting())).entrySet().stream()
-                .filter(entry -> entry.getValue() > 1)
-                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
-    }
-
     @Test(timeout = 60_000)
     public void beginsSingleShotPartAtOneOfTwoProcesses() throws Exception {
         HeldSocket.Run old = start("old");
@@ -67,13 +57,13 @@
             repeat("hold-before" + i);
             sendRepeatedly("hold" + i, i % MAX_PAUSE_MILLIS);
         }
-        assertEquals(Map.of(), partsBegunTwice());
+        assertEquals(Map.of(), repeatedParts("hold"));
         old.signal("TERM");
         Program.await("the new process is alone", () -> next.logText().contains("processes=1"));
         for (int i = 0; i < IDS; i++) {
             repeat("hold" + i);
         }
-        assertEquals("ids of the process that has ended", Map.of(), partsBegunTwice());
+        assertEquals("ids of the process that has ended", Map.of(), repeatedParts("hold"));
         assertTrue(next.isRunning());
     }
 }
--- a/src/test/java/wallmoor/net/UpgradeTest.java
+++ b/src/test/java/wallmoor/net/UpgradeTest.java
@@ -91,14 +91,6 @@
         return next;
     }
 
-    /** Returns the parts of this class that reached workers more than once, with the number of times. */
-    private Map<String, Long> repeatedParts(String queryClass) {
-        return workers.stream().flatMap(w -> List.copyOf(w.seen).stream()).filter(s -> s.startsWith("Q" + queryClass))
-                .map(s -> s.split(" ")[0]).collect(Collectors.groupingBy(s -> s, Collectors.counting()))
-                .entrySet().stream().filter(e -> e.getValue() > 1)
-                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
-    }
-
     private void assertFewBroken(String when, SteadyLoad load, long from, long until) {
         var broken = load.broken(from, until);
         assertTrue(when + ": " + broken, broken.size() <= MAX_BROKEN);
