Give the reload of StartCrossingsTest a file of its own in place of a second FIFO write

Cause: the test's second writer opens the FIFO as soon as the first has closed it. If the program hasn't read to the end yet, both writes end up in its first read, 'logging' is a duplicate key, and the program ends before it reloads. Shown by stopping the program (SIGSTOP) for 0.5 s before the first write: the test failed at the same place, and the program's log had 'operator.yaml: line 2: logging: is a duplicate key'.

Change: once the program has the FIFO open, a regular file takes its name, which the reload reads. No second writer.

Result: passes with the program stopped for 0.5 s; still fails if Main doesn't reload after a SIGHUP that came before the gatherer existed.

--- a/src/test/java/wallmoor/net/StartCrossingsTest.java
+++ b/src/test/java/wallmoor/net/StartCrossingsTest.java
@@ -11,6 +11,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.After;
@@ -111,21 +112,14 @@
         assertEquals(0, new ProcessBuilder("mkfifo", fifo.toString()).start().waitFor());
         Process process = start(config, fifo);
         try (var writer = Files.newOutputStream(fifo)) { // blocks until the program opens it, after the first file
+            // The reload reads a file of its own: what a second writer of the FIFO wrote could end up in this read.
+            Files.move(folder.newFile("reloaded.yaml").toPath(), fifo, StandardCopyOption.REPLACE_EXISTING);
             Files.writeString(config, config(discovery.port()));
             Program.signal(process, "HUP");
             Thread.sleep(SETTLE_MILLIS);
             writer.write("logging: {}\n".getBytes(UTF_8));
         }
-        var secondWrite = new Thread(() -> {
-            try {
-                Files.writeString(fifo, "logging: {}\n"); // a reload reads the FIFO again and blocks until this write
-            } catch (IOException e) {
-                // the program does not read it again
-            }
-        });
-        secondWrite.setDaemon(true);
-        secondWrite.start();
-        Program.await("request to the new discovery: " + log, () -> discovery.count("GET /api/targets") > 0);
+        Program.await("request to the new discovery", () -> discovery.count("GET /api/targets") > 0);
         Program.await("ready", admin::ready);
     }
 
