Give the stored files of a voter one owner, by a lock taken before the first read

Cause: the second process opened the store before it bound the voter's address. While no vote was stored, that replaced the log by an empty file, and the first process went on writing to the deleted one.

Change: DurableDirectory has one owner, by a lock of the operating system that is taken before the first read and ends with the process; no log can be read and nothing written without it. A voter that can't have it ends with StoreInUseException and exit code 3. The versions that a gatherer without a vote stores are written by the owner only, so that such gatherers can still run beside each other. DurableStoreTest reopened stores that were still open; it now closes them, as the end of a process does, and looks at a state in between in a copy.

--- a/src/main/java/wallmoor/Main.java
+++ b/src/main/java/wallmoor/Main.java
@@ -13,6 +13,7 @@
 import wallmoor.config.ConfigException;
 import wallmoor.config.LaunchConfig;
 import wallmoor.config.OperatorConfig;
+import wallmoor.consensus.StoreInUseException;
 import wallmoor.json.Json;
 import wallmoor.log.Logging;
 import wallmoor.service.ArchiveTraining;
@@ -31,6 +32,9 @@
     private static final String FORMER_SIMULATE = "drill";
     private static final String FORMER_TRAIN_ARCHIVE = "rehearse";
 
+    /** The exit code of a voter whose stored files another process owns. */
+    private static final int EXIT_STORE_IN_USE = 3;
+
     /** The running gatherer; null until it has been created. */
     private static volatile Service service;
     /** Whether SIGHUP has been received at least once. */
@@ -44,7 +48,10 @@
 
     private Main() {}
 
-    /** Runs a subcommand. Exits with 0 at end of input, 1 on a malformed line, 2 on wrong usage or configuration. */
+    /**
+     * Runs a subcommand. Exits with 0 at end of input, 1 on a malformed line, 2 on wrong usage or configuration, 3 if
+     * another process owns the stored files.
+     */
     public static void main(String[] args) throws IOException, InterruptedException {
         switch (args.length == 1 ? args[0] : "") {
             case "serve" -> serve();
@@ -98,6 +105,9 @@
         } catch (ConfigException | Json.Malformed e) {
             System.err.println("wallmoor: " + e.getMessage());
             System.exit(2);
+        } catch (StoreInUseException e) {
+            System.err.println("wallmoor: " + e.getMessage());
+            System.exit(EXIT_STORE_IN_USE);
         } catch (IOException e) {
             System.err.println("wallmoor: cannot listen: " + e.getMessage());
             System.exit(2);
--- a/src/main/java/wallmoor/consensus/ConsensusService.java
+++ b/src/main/java/wallmoor/consensus/ConsensusService.java
@@ -35,6 +35,8 @@
     private final RulesConfig config;
     private final List<String> voters;
     private final ControlThread controlThread = new ControlThread();
+    /** Null if nothing is stored. */
+    private final DurableDirectory directory;
     private final TcpTransport transport;
     private final PacketQueue packets;
     private final LeaseHolderConnections holderConnections;
@@ -66,6 +68,7 @@
     /**
      * Loads the durable state and opens the listening socket; {@link #start} begins work.
      *
+     * @throws StoreInUseException if this gatherer votes and another process owns the directory
      * @throws IOException if listening fails or the directory can't be used
      */
     public ConsensusService(RulesConfig config, String name, long seed, RuleChangeListener listener)
@@ -81,8 +84,8 @@
         var timing = new LeaseTiming(config.term() * MICROS_PER_MILLI, CLOCK_DRIFT);
         voters = List.copyOf(config.voters().keySet());
         long wallMicros = wallClock.getAsLong() * MICROS_PER_MILLI;
-        DurableDirectory directory = config.directory() == null ? null : new DurableDirectory(config.directory());
-        DurableStore store = voters.contains(name) ? openStore(directory, wallMicros) : null;
+        directory = config.directory() == null ? null : new DurableDirectory(config.directory());
+        DurableStore store = voters.contains(name) ? openStore(wallMicros) : null;
         long incarnation = store == null ? wallMicros : store.incarnation();
         String group = String.join(",", voters) + " term " + config.term() + " ms";
         transport = new TcpTransport(new Packet.Handshake(group, name, incarnation),
@@ -99,7 +102,7 @@
         packets = new PacketQueue(controlThread, new Dispatcher());
     }
 
-    private DurableStore openStore(DurableDirectory directory, long wallMicros) throws IOException {
+    private DurableStore openStore(long wallMicros) throws IOException {
         try {
             return new DurableStore(directory, name, voters, wallMicros);
         } catch (CorruptDataException e) {
@@ -174,8 +177,11 @@
             }
         });
         try {
-            controlThread.shutDown(CLOSE_MILLIS);
+            boolean hasEnded = controlThread.shutDown(CLOSE_MILLIS);
             transport.close();
+            if (hasEnded && directory != null) {
+                directory.close(); // a task that still runs may write: then the lock is held until the process ends
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (IOException e) {
--- a/src/main/java/wallmoor/consensus/ControlThread.java
+++ b/src/main/java/wallmoor/consensus/ControlThread.java
@@ -80,9 +80,13 @@
         }
     }
 
-    /** Rejects new tasks and waits up to {@code maxWaitMillis} for the tasks already submitted. */
-    void shutDown(long maxWaitMillis) throws InterruptedException {
+    /**
+     * Rejects new tasks and waits up to {@code maxWaitMillis} for the tasks already submitted.
+     *
+     * @return whether they have ended
+     */
+    boolean shutDown(long maxWaitMillis) throws InterruptedException {
         executor.shutdown();
-        executor.awaitTermination(maxWaitMillis, TimeUnit.MILLISECONDS);
+        return executor.awaitTermination(maxWaitMillis, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/wallmoor/consensus/DurableDirectory.java
+++ b/src/main/java/wallmoor/consensus/DurableDirectory.java
@@ -1,8 +1,10 @@
 package wallmoor.consensus;
 
+import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -12,17 +14,63 @@
 import wallmoor.rules.RecordFile;
 
 /**
- * A directory of durable files of one process. A file is either replaced atomically or is a log to which records are
- * appended. Data is on disk when a write method that forces it returns.
+ * A directory of durable files. A file is either replaced atomically or is a log to which records are appended. Data is
+ * on disk when a write method that forces it returns. One process owns the directory, by a lock of the operating system
+ * that ends with the process; only the owner may write, or read a log.
  */
-final class DurableDirectory {
+final class DurableDirectory implements Closeable {
+    private static final String LOCK_FILE = "lock";
+
     private final Path path;
+    /** Open from the first attempt to own the directory until {@link #close}. */
+    private FileChannel lockFile;
+    private boolean isOwned;
+    private boolean isClosed;
 
     /** Creates the directory if it does not exist. */
     DurableDirectory(Path path) throws IOException {
         this.path = Files.createDirectories(path);
     }
 
+    /** Returns whether this process owns the directory, after acquiring the lock if it is free. */
+    boolean tryOwn() throws IOException {
+        if (isOwned || isClosed) {
+            return isOwned;
+        }
+        if (lockFile == null) {
+            lockFile = FileChannel.open(path.resolve(LOCK_FILE), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        }
+        try {
+            isOwned = lockFile.tryLock() != null;
+        } catch (OverlappingFileLockException e) {
+            isOwned = false; // another instance in this process owns it
+        }
+        return isOwned;
+    }
+
+    /** Acquires the lock, and holds it until {@link #close} or the end of the process. */
+    void own() throws IOException {
+        if (!tryOwn()) {
+            throw new StoreInUseException(path);
+        }
+    }
+
+    private void requireOwned() {
+        if (!isOwned) {
+            throw new IllegalStateException("not the owner of " + path);
+        }
+    }
+
+    /** Gives the ownership up for good. */
+    @Override
+    public void close() throws IOException {
+        isOwned = false;
+        isClosed = true;
+        if (lockFile != null) {
+            lockFile.close();
+        }
+    }
+
     boolean has(String file) {
         return Files.exists(path.resolve(file));
     }
@@ -38,6 +86,7 @@
     }
 
     private void replaceBytes(String file, byte[] bytes) throws IOException {
+        requireOwned();
         Path temporary = path.resolve(file + ".new");
         try (var to = FileChannel.open(temporary, StandardOpenOption.CREATE,
                 StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
@@ -52,6 +101,7 @@
 
     /** Returns the records of a log; truncates a torn tail in the file. */
     List<byte[]> readLog(String file) throws IOException, CorruptDataException {
+        requireOwned();
         byte[] bytes = Files.readAllBytes(path.resolve(file));
         RecordFile.DecodedRecords decoded = RecordFile.decodeLog(bytes);
         if (decoded.validLength() < bytes.length) {
@@ -77,6 +127,7 @@
 
     /** Opens an existing log for appending. */
     FileChannel openLog(String file) throws IOException {
+        requireOwned();
         return FileChannel.open(path.resolve(file), StandardOpenOption.WRITE, StandardOpenOption.APPEND);
     }
 
--- a/src/main/java/wallmoor/consensus/DurableStore.java
+++ b/src/main/java/wallmoor/consensus/DurableStore.java
@@ -37,14 +37,17 @@
     private FileChannel logFile;
 
     /**
-     * Loads the stored state, or creates the files if there is none.
+     * Loads the stored state, or creates the files if there is none. Owns the directory from before the first read
+     * until {@link #close}.
      *
      * @param nowMicros the wall clock in microseconds. It becomes the incarnation of this process, unless the clock
      *   went back: then the incarnation is the previous one plus one.
+     * @throws StoreInUseException if another process owns the directory; nothing was read or written
      * @throws CorruptDataException if a file is damaged, as votes and acknowledged entries may be lost
      */
     DurableStore(DurableDirectory directory, String self, Collection<String> voters, long nowMicros)
             throws IOException, CorruptDataException {
+        directory.own();
         this.directory = directory;
         this.self = new VoterEndpoint(self);
         members = RaftGroup.members(models, voters);
@@ -138,6 +141,7 @@
 
     void close() throws IOException {
         logFile.close();
+        directory.close();
     }
 
     // ---- RaftStore ----------------------------------------------------------------------------------------
--- a/src/main/java/wallmoor/consensus/KnownVersionsFile.java
+++ b/src/main/java/wallmoor/consensus/KnownVersionsFile.java
@@ -10,8 +10,8 @@
 
 /**
  * The file with the versions that this gatherer knew last, from which it takes fallbacks after a restart. A late or
- * lost file costs a fallback but violates no guarantee, so errors are logged and nothing waits for the file. Runs on
- * the control thread.
+ * lost file costs a fallback but violates no guarantee, so errors are logged and nothing waits for the file. While
+ * another process owns the directory, as during an upgrade, this one doesn't write. Runs on the control thread.
  */
 final class KnownVersionsFile {
     private static final Logger LOG = LoggerFactory.getLogger(KnownVersionsFile.class);
@@ -54,8 +54,11 @@
         if (directory == null || known.equals(saved)) {
             return;
         }
-        saved = known;
         try {
+            if (!directory.tryOwn()) {
+                return;
+            }
+            saved = known;
             directory.replaceFile(FILE, LeaseMessageCodec.encodeKnownVersions(known));
             writable = true;
         } catch (IOException e) {
--- a/src/test/java/wallmoor/consensus/DurableStoreGoldenTest.java
+++ b/src/test/java/wallmoor/consensus/DurableStoreGoldenTest.java
@@ -87,8 +87,10 @@
         store.close();
         open().close();
         files.put("vote-reopened", Files.readAllBytes(path("vote")));
-        new DurableDirectory(folder.getRoot().toPath()).replaceFile("known",
-                LeaseMessageCodec.encodeKnownVersions(KNOWN));
+        try (var directory = new DurableDirectory(folder.getRoot().toPath())) {
+            directory.own();
+            directory.replaceFile("known", LeaseMessageCodec.encodeKnownVersions(KNOWN));
+        }
         files.put("known", Files.readAllBytes(path("known")));
         return files;
     }
--- a/src/test/java/wallmoor/consensus/DurableStoreTest.java
+++ b/src/test/java/wallmoor/consensus/DurableStoreTest.java
@@ -13,6 +13,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.util.List;
 import java.util.Random;
 import java.util.TreeMap;
@@ -30,8 +31,25 @@
     public final TemporaryFolder folder = new TemporaryFolder();
     private final DefaultRaftModelFactory models = new DefaultRaftModelFactory();
 
+    /** The lock of the store that is open; the end of a process would release it. */
+    private DurableDirectory owned;
+
+    /** Opens the store as the next process does, after the end of the one before. */
     private DurableStore open() throws Exception {
-        return new DurableStore(new DurableDirectory(folder.getRoot().toPath()), "a", VOTERS, 1_000);
+        if (owned != null) {
+            owned.close();
+        }
+        owned = new DurableDirectory(folder.getRoot().toPath());
+        return new DurableStore(owned, "a", VOTERS, 1_000);
+    }
+
+    /** Opens a copy of the files as they are now, while the store that is open continues. */
+    private DurableStore openCopy() throws Exception {
+        Path copy = folder.newFolder().toPath();
+        for (String file : List.of("vote", "log")) {
+            Files.copy(folder.getRoot().toPath().resolve(file), copy.resolve(file));
+        }
+        return new DurableStore(new DurableDirectory(copy), "a", VOTERS, 1_000);
     }
 
     private Path log() {
@@ -57,6 +75,20 @@
                         .build());
     }
 
+    /** Guards against a second process that replaces the log of a voter that runs, as in review case 7. */
+    @Test
+    public void refusesASecondOwnerAndLeavesTheFilesAsTheyAre() throws Exception {
+        DurableStore store = open();
+        Object fileBefore = Files.readAttributes(log(), BasicFileAttributes.class).fileKey();
+        var second = new DurableDirectory(folder.getRoot().toPath());
+        assertThrows(StoreInUseException.class, () -> new DurableStore(second, "a", VOTERS, 1_000));
+        assertThrows(IllegalStateException.class, () -> second.replaceFile("known", List.of()));
+        assertThrows(IllegalStateException.class, () -> second.readLog("log"));
+        assertEquals(fileBefore, Files.readAttributes(log(), BasicFileAttributes.class).fileKey());
+        store.close();
+        assertTrue("free after the end of the owner", second.tryOwn());
+    }
+
     @Test
     public void restoresVoteAndTermAndIncreasesIncarnation() throws Exception {
         DurableStore first = open();
@@ -110,7 +142,7 @@
         store.startInTerm(0, 0);
         store.persistLogEntries(LongStream.rangeClosed(1, 20).mapToObj(i -> entry(i, 3)).toList());
         chunk(store, 10, 0, 2);
-        assertEquals(null, open().restoredState().getSnapshotEntry());
+        assertEquals(null, openCopy().restoredState().getSnapshotEntry());
         chunk(store, 10, 1, 2);
         long sizeBefore = Files.size(log());
         store.truncateLogEntriesUntil(10);
