Apply the variables of an inventory's groups by Ansible's precedence

Cause: variables of a group were passed down as each child's own, and a host kept the value of its first group in the file.

Change: GroupHierarchy collects the groups of the whole file by name and then applies the host's variables over deeper groups over less deep ones, then priority, then name; a group below itself is refused by name.

--- a/src/main/java/wallmoor/inventory/YamlInventory.java
+++ b/src/main/java/wallmoor/inventory/YamlInventory.java
@@ -2,7 +2,6 @@
 
 import java.nio.file.Path;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.yaml.snakeyaml.LoaderOptions;
@@ -11,14 +10,15 @@
 import org.yaml.snakeyaml.error.YAMLException;
 
 /**
- * Parses an inventory in Ansible's YAML format: groups with hosts, variables and child groups. Variables of a host
- * override those of its group, and variables of a group override those of its parent group.
+ * Parses an inventory in Ansible's YAML format: groups with hosts, variables and child groups. A group may stand in
+ * several places, which add to it; {@link GroupHierarchy} decides which value of a variable applies.
  */
 final class YamlInventory {
     /** The maximum nesting depth of child groups. */
     private static final int MAX_DEPTH = 16;
 
     private final Path file;
+    private final GroupHierarchy hierarchy = new GroupHierarchy();
 
     /** Creates a parser; the file is only named in error messages. */
     YamlInventory(Path file) {
@@ -27,12 +27,17 @@
 
     /** Returns the variables of each host by host name, in the order of the file. */
     Map<String, Map<String, String>> parse(String text) {
-        var hosts = new LinkedHashMap<String, Map<String, String>>();
         if (!(load(text) instanceof Map<?, ?> groups)) {
             throw InventoryParser.fault(file, "file", "must be a mapping of group names to groups");
         }
-        groups.forEach((name, group) -> addGroup("group " + name, group, Map.of(), hosts, 0));
-        return hosts;
+        try {
+            for (Map.Entry<?, ?> group : groups.entrySet()) {
+                addGroup(String.valueOf(group.getKey()), group.getValue(), 0);
+            }
+            return hierarchy.hostVariables();
+        } catch (GroupHierarchy.InvalidGroupException e) {
+            throw InventoryParser.fault(file, "group " + e.group(), e.getMessage());
+        }
     }
 
     /** Loads YAML as plain maps, lists and scalars; types that the file names are never instantiated. */
@@ -48,32 +53,26 @@
         }
     }
 
-    private void addGroup(String location, Object value, Map<String, String> inherited,
-            Map<String, Map<String, String>> hosts, int depth) {
+    private void addGroup(String name, Object value, int depth) throws GroupHierarchy.InvalidGroupException {
+        String location = "group " + name;
         if (value == null) {
+            hierarchy.addGroup(name, Map.of()); // another place of the file may add to it
             return;
         }
         if (!(value instanceof Map<?, ?> group) || depth > MAX_DEPTH) {
             throw InventoryParser.fault(file, location,
                     "must be a mapping, nested at most " + MAX_DEPTH + " levels deep");
         }
-        var variables = new HashMap<>(inherited);
-        variables.putAll(variables(location, group.get("vars")));
-        mapping(location + " hosts", group.get("hosts"))
-                .forEach((name, own) -> addHost(String.valueOf(name), own, variables, hosts));
-        mapping(location + " children", group.get("children"))
-                .forEach((name, child) -> addGroup("group " + name, child, variables, hosts, depth + 1));
-    }
-
-    /**
-     * Adds a host. A host may be in several groups: a variable of a later group is added only if the host has no value
-     * for it yet, and the host's own variables override all inherited ones.
-     */
-    private void addHost(String name, Object ownVariables, Map<String, String> inherited,
-            Map<String, Map<String, String>> hosts) {
-        Map<String, String> host = hosts.computeIfAbsent(name, n -> new HashMap<>());
-        inherited.forEach(host::putIfAbsent);
-        host.putAll(variables("host " + name, ownVariables));
+        hierarchy.addGroup(name, variables(location, group.get("vars")));
+        for (Map.Entry<?, ?> host : mapping(location + " hosts", group.get("hosts")).entrySet()) {
+            String hostName = String.valueOf(host.getKey());
+            hierarchy.addHost(name, hostName, variables("host " + hostName, host.getValue()));
+        }
+        for (Map.Entry<?, ?> child : mapping(location + " children", group.get("children")).entrySet()) {
+            String childName = String.valueOf(child.getKey());
+            hierarchy.addChild(name, childName);
+            addGroup(childName, child.getValue(), depth + 1);
+        }
     }
 
     private Map<?, ?> mapping(String location, Object value) {
