Check the permission to send before each request to a feature server

Operators saw: a drained feature server gets requests for further pages of parts that began before the drain.

Cause: FetchConnection checked the permission before an attempt's first request only.

Change: it stands before each request. If the server drains or moves between two pages, the part ends with the features read until then and has more, for the client's next page; without any feature it ends as one that may have run, past the deadline as timed out. The idempotency window limits the first request only.

--- a/src/main/java/wallmoor/core/SendPermission.java
+++ b/src/main/java/wallmoor/core/SendPermission.java
@@ -2,8 +2,8 @@
 
 /**
  * The result of the check whether an attempt may be sent. Transports call {@link Attempt#checkPermission} immediately
- * before the first byte, because the query, the attempt or the worker may have changed since the policy decided on the
- * attempt. An attempt that may not be sent ends as {@link AttemptOutcome#NOT_SENT}.
+ * before the first byte of each request, because the query, the attempt or the worker may have changed since the policy
+ * decided on the attempt. An attempt of which nothing may be sent ends as {@link AttemptOutcome#NOT_SENT}.
  */
 public enum SendPermission {
     /** The attempt may be sent. */
@@ -27,4 +27,9 @@
     public boolean granted() {
         return this == GRANTED;
     }
+
+    /** Returns whether an attempt that has begun may send a further request. The window limits only the beginning. */
+    public boolean mayContinue() {
+        return this == GRANTED || this == IDEMPOTENCY_WINDOW_EXPIRED;
+    }
 }
--- a/src/main/java/wallmoor/ogc/FeatureFetch.java
+++ b/src/main/java/wallmoor/ogc/FeatureFetch.java
@@ -48,7 +48,7 @@
                 outcome = AttemptOutcome.CONNECT_FAILED;
             }
         } catch (SendNotPermittedException e) {
-            outcome = AttemptOutcome.NOT_SENT;
+            outcome = outcomeOf(e);
         } catch (ServerRejectedException e) {
             outcome = AttemptOutcome.REJECTED;
         } catch (IOException e) {
@@ -63,4 +63,12 @@
         gatherer.report(attempt, value != null ? outcome : connection.outcomeUnlessCancelled(outcome), value);
         return reusable ? connection.release() : null;
     }
+
+    /** Returns the outcome of an attempt of which a request was not permitted; earlier ones may have run. */
+    private AttemptOutcome outcomeOf(SendNotPermittedException refusal) {
+        if (!connection.hasSent()) {
+            return AttemptOutcome.NOT_SENT;
+        }
+        return refusal.isDeadlineExceeded() ? AttemptOutcome.TIMED_OUT : AttemptOutcome.RESET;
+    }
 }
--- a/src/main/java/wallmoor/ogc/FetchConnection.java
+++ b/src/main/java/wallmoor/ogc/FetchConnection.java
@@ -9,6 +9,7 @@
 import wallmoor.core.Attempt;
 import wallmoor.core.AttemptOutcome;
 import wallmoor.core.Gatherer;
+import wallmoor.core.SendPermission;
 import wallmoor.http.HttpMessage;
 import wallmoor.http.HttpProtocolException;
 import wallmoor.http.HttpReader;
@@ -99,7 +100,7 @@
      * @throws IOException               if the connection failed or the attempt was cancelled
      * @throws HttpProtocolException     if the response is malformed, too long (413) or has another status (502)
      * @throws ServerRejectedException   if the server rejected the first request
-     * @throws SendNotPermittedException if the first request may no longer be sent
+     * @throws SendNotPermittedException if the request may no longer be sent
      */
     HttpMessage get(String target)
             throws IOException, HttpProtocolException, ServerRejectedException, SendNotPermittedException {
@@ -133,8 +134,9 @@
         if (cancelOutcome != null) {
             throw new AttemptCancelledException();
         }
-        if (first && !attempt.checkPermission(gatherer.now(), connection.address()).granted()) {
-            throw new SendNotPermittedException();
+        SendPermission permission = attempt.checkPermission(gatherer.now(), connection.address());
+        if (!(first ? permission.granted() : permission.mayContinue())) {
+            throw new SendNotPermittedException(permission);
         }
         sent = true; // the server may run the request from its first byte on
     }
--- a/src/main/java/wallmoor/ogc/ShardPageReader.java
+++ b/src/main/java/wallmoor/ogc/ShardPageReader.java
@@ -10,8 +10,9 @@
 import wallmoor.http.HttpProtocolException;
 
 /**
- * Reads all upstream pages of one part, one after another. The part succeeds only when all of them were read. If a
- * later page fails, the part may have run already, so it is not reported as rejected or not sent.
+ * Reads all upstream pages of one part, one after another. If a later page fails, the part fails, and may have run
+ * already, so it is not reported as rejected or not sent. If the server starts to drain, the part ends with the pages
+ * read until then.
  */
 final class ShardPageReader {
     /** The maximum number of upstream pages of one part; features beyond them are for the client's next page. */
@@ -63,6 +64,11 @@
             FeatureJsonReader.FeaturePage upstreamPage;
             try {
                 upstreamPage = FeatureJsonReader.page(get(target).body());
+            } catch (SendNotPermittedException e) {
+                if (features.isEmpty() || !e.isServerLeaving()) {
+                    throw e;
+                }
+                return result(true); // the features of later pages are for the client's next page, by another server
             } catch (HttpProtocolException e) {
                 reduceLimit(e);
                 target = pageTarget(offset + features.size());
--- a/src/test/java/wallmoor/ogc/FetchPermissionTest.java
+++ b/src/test/java/wallmoor/ogc/FetchPermissionTest.java
@@ -1,6 +1,7 @@
 package wallmoor.ogc;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertThrows;
 import static org.junit.Assert.assertTrue;
 
 import java.net.InetAddress;
@@ -19,7 +20,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.After;
 import org.junit.Before;
+import org.junit.Rule;
 import org.junit.Test;
+import org.junit.rules.Timeout;
 import org.slf4j.helpers.NOPLogger;
 import wallmoor.config.OgcConfig;
 import wallmoor.config.SettingsReader;
@@ -30,8 +33,8 @@
 import wallmoor.core.WorkerEndpoint;
 
 /**
- * Tests that an attempt's first request is sent only if the attempt is still permitted then: a disconnect, a drain or a
- * deadline may come between the start of an attempt and its first request.
+ * Tests that each request of an attempt is sent only if the attempt is still permitted then: a disconnect, a drain or a
+ * deadline may come between the start of an attempt and its first request, or between two of its pages.
  */
 public class FetchPermissionTest {
     private static final String SETTINGS = "Classes.count=1 Classes.0.Aim=1000000 Classes.0.GiveUp=2000000"
@@ -42,6 +45,8 @@
             + " Contract.ColdShare=0.16 Contract.Cold=18000000 Contract.FallMultiple=2 Contract.OverloadFor=2000000";
     private static final String PAGE = "{\"type\":\"FeatureCollection\",\"features\":[]}";
 
+    @Rule
+    public final Timeout timeout = Timeout.seconds(60);
     private final AtomicLong clock = new AtomicLong(1_000_000_000);
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final ServerSocket server;
@@ -136,14 +141,74 @@
     public void servesAPermittedAttemptAndReturnsItsConnection() throws Exception {
         Future<PooledConnection> fetch = startFetch();
         Socket peer = server.accept();
+        receiveRequest(peer);
+        respond(peer, PAGE);
+        assertTrue("the connection is reusable", fetch.get(15, TimeUnit.SECONDS) != null);
+        assertTrue(gatherer.awaitStep(query) instanceof Step.Answer);
+    }
+
+    private static void receiveRequest(Socket peer) throws Exception {
         var received = new ArrayList<Integer>();
         while (received.size() < 4
                 || !received.subList(received.size() - 4, received.size()).equals(List.of(13, 10, 13, 10))) {
-            received.add(peer.getInputStream().read());
+            int next = peer.getInputStream().read();
+            assertTrue("a complete request", next >= 0);
+            received.add(next);
         }
+    }
+
+    private static void respond(Socket peer, String page) throws Exception {
         peer.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Type: application/geo+json\r\nContent-Length: "
-                + PAGE.length() + "\r\n\r\n" + PAGE).getBytes(StandardCharsets.ISO_8859_1));
-        assertTrue("the connection is reusable", fetch.get(15, TimeUnit.SECONDS) != null);
-        assertTrue(gatherer.awaitStep(query) instanceof Step.Answer);
+                + page.length() + "\r\n\r\n" + page).getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static String pageWithNextLink(String features) {
+        return "{\"type\":\"FeatureCollection\",\"links\":[{\"rel\":\"next\",\"href\":"
+                + "\"/collections/c-0/items?limit=1&offset=1\"}],\"features\":[" + features + "]}";
+    }
+
+    private void startToDrain() {
+        gatherer.control().updateEndpoints(false,
+                List.of(endpoint(server.getLocalPort(), WorkerEndpoint.EndpointState.DRAINING)));
+    }
+
+    /** Guards against requests for further pages that reach a server after it was drained. */
+    @Test
+    public void endsThePartWithThePagesReadIfTheEndpointDrainsBetweenTwoPages() throws Exception {
+        Future<PooledConnection> fetch = startFetch();
+        Socket peer = server.accept();
+        receiveRequest(peer);
+        startToDrain();
+        respond(peer, pageWithNextLink("{\"type\":\"Feature\",\"id\":\"f-0\",\"geometry\":null,\"properties\":{}}"));
+        fetch.get(15, TimeUnit.SECONDS);
+        var answer = (Step.Answer) gatherer.awaitStep(query);
+        var features = FeatureQuery.ShardFeatures.decode(answer.values().get(0).bytes());
+        assertEquals(1, features.features().size());
+        assertTrue("the shard has more features", features.hasMore());
+        peer.setSoTimeout(100);
+        assertThrows("no further request", SocketTimeoutException.class, () -> peer.getInputStream().read());
+    }
+
+    /** As above, where the pages read have no feature: the part may have run, and is not answered. */
+    @Test
+    public void sendsNoFurtherRequestIfNoFeatureWasReadBeforeTheDrain() throws Exception {
+        Future<PooledConnection> fetch = startFetch();
+        Socket peer = server.accept();
+        receiveRequest(peer);
+        startToDrain();
+        respond(peer, pageWithNextLink(""));
+        fetch.get(15, TimeUnit.SECONDS);
+        assertEquals("closed without a further request", "", receiveAll(peer));
+    }
+
+    @Test
+    public void sendsNoFurtherRequestAfterTheDeadline() throws Exception {
+        Future<PooledConnection> fetch = startFetch();
+        Socket peer = server.accept();
+        receiveRequest(peer);
+        clock.addAndGet(2_000_000);
+        respond(peer, pageWithNextLink(""));
+        fetch.get(15, TimeUnit.SECONDS);
+        assertEquals("closed without a further request", "", receiveAll(peer));
     }
 }
