Hold the lock of a voter's files until nothing can write any more

What operators saw: a leader's clean shutdown logged "Failure during termination of c<rules>" with IllegalStateException: not the owner of the directory. Its last term was not stored.

Cause: DurableStore.close released the lock of the directory, but the Raft node stores its term once more while it terminates, in a later task of the control thread.

Change: DurableStore.close closes its log alone. ConsensusService.close, which ends the control thread first, closes the directory as before.

Test: DurableStoreTest.storesTheTermThatIsWrittenAfterTheStoreWasClosed failed before with that exception.

--- a/src/main/java/wallmoor/consensus/DurableStore.java
+++ b/src/main/java/wallmoor/consensus/DurableStore.java
@@ -37,8 +37,8 @@
     private FileChannel logFile;
 
     /**
-     * Loads the stored state, or creates the files if there is none. Owns the directory from before the first read
-     * until {@link #close}.
+     * Loads the stored state, or creates the files if there is none. Acquires the directory before the first read; the
+     * caller closes the directory once nothing can write any more.
      *
      * @param nowMicros the wall clock in microseconds. It becomes the incarnation of this process, unless the clock
      *   went back: then the incarnation is the previous one plus one.
@@ -139,9 +139,9 @@
         return new RestoredRaftState(endpoint, members, term, snapshot, log.entriesAfter(from));
     }
 
+    /** Closes the log. The term may still be stored: the Raft node does so while it terminates. */
     void close() throws IOException {
         logFile.close();
-        directory.close();
     }
 
     // ---- RaftStore ----------------------------------------------------------------------------------------
--- a/src/test/java/wallmoor/consensus/DurableStoreGoldenTest.java
+++ b/src/test/java/wallmoor/consensus/DurableStoreGoldenTest.java
@@ -15,6 +15,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.junit.Before;
 import org.junit.Rule;
 import org.junit.Test;
 import org.junit.rules.TemporaryFolder;
@@ -40,13 +41,22 @@
     @Rule
     public final TemporaryFolder folder = new TemporaryFolder();
     private final DefaultRaftModelFactory models = new DefaultRaftModelFactory();
+    private DurableDirectory directory;
+
+    @Before
+    public void createDirectory() throws Exception {
+        directory = new DurableDirectory(folder.getRoot().toPath());
+    }
 
     private Path path(String file) {
         return folder.getRoot().toPath().resolve(file);
     }
 
+    /** Opens the store as the next process does, after the end of the one before. */
     private DurableStore open() throws Exception {
-        return new DurableStore(new DurableDirectory(folder.getRoot().toPath()), "a", VOTERS, NOW_MICROS);
+        directory.close();
+        directory = new DurableDirectory(folder.getRoot().toPath());
+        return new DurableStore(directory, "a", VOTERS, NOW_MICROS);
     }
 
     private LogEntry entry(long index, int term) {
@@ -87,10 +97,7 @@
         store.close();
         open().close();
         files.put("vote-reopened", Files.readAllBytes(path("vote")));
-        try (var directory = new DurableDirectory(folder.getRoot().toPath())) {
-            directory.own();
-            directory.replaceFile("known", LeaseMessageCodec.encodeKnownVersions(KNOWN));
-        }
+        directory.replaceFile("known", LeaseMessageCodec.encodeKnownVersions(KNOWN));
         files.put("known", Files.readAllBytes(path("known")));
         return files;
     }
--- a/src/test/java/wallmoor/consensus/DurableStoreTest.java
+++ b/src/test/java/wallmoor/consensus/DurableStoreTest.java
@@ -86,9 +86,20 @@
         assertThrows(IllegalStateException.class, () -> second.readLog("log"));
         assertEquals(fileBefore, Files.readAttributes(log(), BasicFileAttributes.class).fileKey());
         store.close();
+        owned.close();
         assertTrue("free after the end of the owner", second.tryOwn());
     }
 
+    /** Guards against a lock that is released too early: the leader's last write at a shutdown failed. */
+    @Test
+    public void storesTheTermThatIsWrittenAfterTheStoreWasClosed() throws Exception {
+        DurableStore store = open();
+        store.startInTerm(0, 0);
+        store.close();
+        vote(store, 5, "b");
+        assertEquals(5, open().term());
+    }
+
     @Test
     public void restoresVoteAndTermAndIncreasesIncarnation() throws Exception {
         DurableStore first = open();
