--- a/src/main/java/wallmoor/inventory/GroupHierarchy.java
+++ b/src/main/java/wallmoor/inventory/GroupHierarchy.java
@@ -1,5 +1,6 @@
 package wallmoor.inventory;
 
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -8,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import wallmoor.config.ConfigException;
 
 /**
  * The groups of an inventory and the variables that hosts get from them, by Ansible's precedence: a host's own
@@ -22,22 +24,17 @@
     private static final int DEFAULT_PRIORITY = 1;
     private static final int UNKNOWN_DEPTH = -1;
 
+    /** The order in which groups override each other, the weakest first. */
+    private static final Comparator<Group> PRECEDENCE = Comparator.<Group>comparingInt(group -> group.depth)
+            .thenComparingInt(group -> group.priority).thenComparing(group -> group.name);
+
+    private final Path file;
     private final Map<String, Group> groups = new HashMap<>();
     private final Map<String, Host> hosts = new LinkedHashMap<>();
 
-    /** Thrown if the groups have no order; names the group at fault. */
-    static final class InvalidGroupException extends Exception {
-        private static final long serialVersionUID = 1L;
-        private final String group;
-
-        InvalidGroupException(String group, String problem) {
-            super(problem);
-            this.group = group;
-        }
-
-        String group() {
-            return group;
-        }
+    /** Creates a hierarchy without groups; the file is only named in error messages. */
+    GroupHierarchy(Path file) {
+        this.file = file;
     }
 
     private static final class Group {
@@ -52,18 +49,6 @@
         Group(String name) {
             this.name = name;
         }
-
-        int depth() {
-            return depth;
-        }
-
-        int priority() {
-            return priority;
-        }
-
-        String name() {
-            return name;
-        }
     }
 
     private static final class Host {
@@ -71,8 +56,12 @@
         private final Map<String, String> variables = new HashMap<>();
     }
 
-    /** Adds a group, or variables to one that was added before. */
-    void addGroup(String name, Map<String, String> variables) throws InvalidGroupException {
+    /**
+     * Adds a group, or variables to one that was added before.
+     *
+     * @throws ConfigException if its priority is not an integer
+     */
+    void addGroup(String name, Map<String, String> variables) {
         Group group = group(name);
         group.variables.putAll(variables);
         String priority = group.variables.remove(PRIORITY_VARIABLE);
@@ -80,7 +69,7 @@
             try {
                 group.priority = Integer.parseInt(priority);
             } catch (NumberFormatException e) {
-                throw new InvalidGroupException(name, PRIORITY_VARIABLE + " must be an integer: " + priority);
+                throw fault(name, PRIORITY_VARIABLE + " must be an integer: " + priority);
             }
         }
     }
@@ -100,9 +89,9 @@
     /**
      * Returns the variables of each host by host name, in the order in which the hosts were added.
      *
-     * @throws InvalidGroupException if a group is below itself
+     * @throws ConfigException if a group is below itself
      */
-    Map<String, Map<String, String>> hostVariables() throws InvalidGroupException {
+    Map<String, Map<String, String>> hostVariables() {
         for (Group group : groups.values()) {
             findDepth(group);
         }
@@ -111,16 +100,20 @@
         return variables;
     }
 
+    private ConfigException fault(String group, String problem) {
+        return InventoryParser.fault(file, "group " + group, problem);
+    }
+
     private Group group(String name) {
         return groups.computeIfAbsent(name, Group::new);
     }
 
-    private int findDepth(Group group) throws InvalidGroupException {
+    private int findDepth(Group group) {
         if (group.depth != UNKNOWN_DEPTH) {
             return group.depth;
         }
         if (group.isVisited) {
-            throw new InvalidGroupException(group.name, "is below itself");
+            throw fault(group.name, "is below itself");
         }
         group.isVisited = true;
         int depth = group.name.equals(ROOT) ? 0 : 1;
@@ -155,8 +148,7 @@
             }
         }
         var ordered = new ArrayList<>(found);
-        ordered.sort(
-                Comparator.comparingInt(Group::depth).thenComparingInt(Group::priority).thenComparing(Group::name));
+        ordered.sort(PRECEDENCE);
         return ordered;
     }
 }
--- a/src/main/java/wallmoor/inventory/YamlInventory.java
+++ b/src/main/java/wallmoor/inventory/YamlInventory.java
@@ -18,11 +18,12 @@
     private static final int MAX_DEPTH = 16;
 
     private final Path file;
-    private final GroupHierarchy hierarchy = new GroupHierarchy();
+    private final GroupHierarchy hierarchy;
 
     /** Creates a parser; the file is only named in error messages. */
     YamlInventory(Path file) {
         this.file = file;
+        hierarchy = new GroupHierarchy(file);
     }
 
     /** Returns the variables of each host by host name, in the order of the file. */
@@ -30,14 +31,8 @@
         if (!(load(text) instanceof Map<?, ?> groups)) {
             throw InventoryParser.fault(file, "file", "must be a mapping of group names to groups");
         }
-        try {
-            for (Map.Entry<?, ?> group : groups.entrySet()) {
-                addGroup(String.valueOf(group.getKey()), group.getValue(), 0);
-            }
-            return hierarchy.hostVariables();
-        } catch (GroupHierarchy.InvalidGroupException e) {
-            throw InventoryParser.fault(file, "group " + e.group(), e.getMessage());
-        }
+        groups.forEach((name, group) -> addGroup(String.valueOf(name), group, 0));
+        return hierarchy.hostVariables();
     }
 
     /** Loads YAML as plain maps, lists and scalars; types that the file names are never instantiated. */
@@ -53,7 +48,7 @@
         }
     }
 
-    private void addGroup(String name, Object value, int depth) throws GroupHierarchy.InvalidGroupException {
+    private void addGroup(String name, Object value, int depth) {
         String location = "group " + name;
         if (value == null) {
             hierarchy.addGroup(name, Map.of()); // another place of the file may add to it
@@ -64,15 +59,12 @@
                     "must be a mapping, nested at most " + MAX_DEPTH + " levels deep");
         }
         hierarchy.addGroup(name, variables(location, group.get("vars")));
-        for (Map.Entry<?, ?> host : mapping(location + " hosts", group.get("hosts")).entrySet()) {
-            String hostName = String.valueOf(host.getKey());
-            hierarchy.addHost(name, hostName, variables("host " + hostName, host.getValue()));
-        }
-        for (Map.Entry<?, ?> child : mapping(location + " children", group.get("children")).entrySet()) {
-            String childName = String.valueOf(child.getKey());
-            hierarchy.addChild(name, childName);
-            addGroup(childName, child.getValue(), depth + 1);
-        }
+        mapping(location + " hosts", group.get("hosts")).forEach(
+                (host, own) -> hierarchy.addHost(name, String.valueOf(host), variables("host " + host, own)));
+        mapping(location + " children", group.get("children")).forEach((child, content) -> {
+            hierarchy.addChild(name, String.valueOf(child));
+            addGroup(String.valueOf(child), content, depth + 1);
+        });
     }
 
     private Map<?, ?> mapping(String location, Object value) {
--- a/src/test/java/wallmoor/ogc/FetchPermissionTest.java
+++ b/src/test/java/wallmoor/ogc/FetchPermissionTest.java
@@ -118,8 +118,7 @@
 
     @Test
     public void sendsNothingIfTheEndpointDrainsBeforeTheFirstRequest() throws Exception {
-        gatherer.control().updateEndpoints(false,
-                List.of(endpoint(server.getLocalPort(), WorkerEndpoint.EndpointState.DRAINING)));
+        startToDrain();
         Future<PooledConnection> fetch = startFetch();
         assertEquals("", receiveAll(server.accept()));
         fetch.get(15, TimeUnit.SECONDS);
@@ -140,14 +139,15 @@
     @Test
     public void servesAPermittedAttemptAndReturnsItsConnection() throws Exception {
         Future<PooledConnection> fetch = startFetch();
-        Socket peer = server.accept();
-        receiveRequest(peer);
+        Socket peer = acceptRequest();
         respond(peer, PAGE);
         assertTrue("the connection is reusable", fetch.get(15, TimeUnit.SECONDS) != null);
         assertTrue(gatherer.awaitStep(query) instanceof Step.Answer);
     }
 
-    private static void receiveRequest(Socket peer) throws Exception {
+    /** Returns the connection on which a complete request was received. */
+    private Socket acceptRequest() throws Exception {
+        Socket peer = server.accept();
         var received = new ArrayList<Integer>();
         while (received.size() < 4
                 || !received.subList(received.size() - 4, received.size()).equals(List.of(13, 10, 13, 10))) {
@@ -155,6 +155,7 @@
             assertTrue("a complete request", next >= 0);
             received.add(next);
         }
+        return peer;
     }
 
     private static void respond(Socket peer, String page) throws Exception {
@@ -167,6 +168,11 @@
                 + "\"/collections/c-0/items?limit=1&offset=1\"}],\"features\":[" + features + "]}";
     }
 
+    private static void assertClosedWithoutFurtherRequest(Future<?> fetch, Socket peer) throws Exception {
+        fetch.get(15, TimeUnit.SECONDS);
+        assertEquals("closed without a further request", "", receiveAll(peer));
+    }
+
     private void startToDrain() {
         gatherer.control().updateEndpoints(false,
                 List.of(endpoint(server.getLocalPort(), WorkerEndpoint.EndpointState.DRAINING)));
@@ -176,8 +182,7 @@
     @Test
     public void endsThePartWithThePagesReadIfTheEndpointDrainsBetweenTwoPages() throws Exception {
         Future<PooledConnection> fetch = startFetch();
-        Socket peer = server.accept();
-        receiveRequest(peer);
+        Socket peer = acceptRequest();
         startToDrain();
         respond(peer, pageWithNextLink("{\"type\":\"Feature\",\"id\":\"f-0\",\"geometry\":null,\"properties\":{}}"));
         fetch.get(15, TimeUnit.SECONDS);
@@ -193,22 +198,18 @@
     @Test
     public void sendsNoFurtherRequestIfNoFeatureWasReadBeforeTheDrain() throws Exception {
         Future<PooledConnection> fetch = startFetch();
-        Socket peer = server.accept();
-        receiveRequest(peer);
+        Socket peer = acceptRequest();
         startToDrain();
         respond(peer, pageWithNextLink(""));
-        fetch.get(15, TimeUnit.SECONDS);
-        assertEquals("closed without a further request", "", receiveAll(peer));
+        assertClosedWithoutFurtherRequest(fetch, peer);
     }
 
     @Test
     public void sendsNoFurtherRequestAfterTheDeadline() throws Exception {
         Future<PooledConnection> fetch = startFetch();
-        Socket peer = server.accept();
-        receiveRequest(peer);
+        Socket peer = acceptRequest();
         clock.addAndGet(2_000_000);
         respond(peer, pageWithNextLink(""));
-        fetch.get(15, TimeUnit.SECONDS);
-        assertEquals("closed without a further request", "", receiveAll(peer));
+        assertClosedWithoutFurtherRequest(fetch, peer);
     }
 }
