Give the creation of threads a package of its own, beside HTTP and not within it

Nine packages used `http` for `Threads` alone. It is `threads.Threads` now, and LayersTest no longer permits those packages to use `http`. No behaviour changes.

--- a/src/main/java/wallmoor/consensus/TcpTransport.java
+++ b/src/main/java/wallmoor/consensus/TcpTransport.java
@@ -15,8 +15,8 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import wallmoor.http.Threads;
 import wallmoor.rules.CorruptDataException;
+import wallmoor.threads.Threads;
 
 /**
  * The connections of one process, on one thread. It listens if the process is a voting member, and dials the members
--- a/src/main/java/wallmoor/control/ControlServer.java
+++ b/src/main/java/wallmoor/control/ControlServer.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
-import wallmoor.http.Threads;
+import wallmoor.threads.Threads;
 
 /**
  * The listener of a control port. It owns the socket and the threads, reads one request from each connection, lets the
--- a/src/main/java/wallmoor/discovery/DiscoveryWatch.java
+++ b/src/main/java/wallmoor/discovery/DiscoveryWatch.java
@@ -13,9 +13,9 @@
 import wallmoor.endpoints.SourceEndpoint;
 import wallmoor.endpoints.WatchEvent;
 import wallmoor.http.HttpProtocolException;
-import wallmoor.http.Threads;
 import wallmoor.json.Json;
 import wallmoor.sources.EndpointSource;
+import wallmoor.threads.Threads;
 
 /**
  * Watches discovery's endpoint list, from the last applied revision, when the decision module requests it. The decision
--- a/src/main/java/wallmoor/dns/DnsSource.java
+++ b/src/main/java/wallmoor/dns/DnsSource.java
@@ -14,8 +14,8 @@
 import wallmoor.config.OperatorConfig.DnsName;
 import wallmoor.endpoints.SourceEndpoint;
 import wallmoor.endpoints.WatchEvent;
-import wallmoor.http.Threads;
 import wallmoor.sources.EndpointSource;
+import wallmoor.threads.Threads;
 
 /**
  * One service in DNS as a source of endpoints. It is looked up before its records expire, and more often while
--- a/src/main/java/wallmoor/dns/ParallelTargetLookup.java
+++ b/src/main/java/wallmoor/dns/ParallelTargetLookup.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.xbill.DNS.Record;
 import org.xbill.DNS.SRVRecord;
-import wallmoor.http.Threads;
+import wallmoor.threads.Threads;
 
 /** Looks up the targets of a service's SRV records in parallel, on a few threads. */
 final class ParallelTargetLookup {
--- a/src/main/java/wallmoor/edge/Devices.java
+++ b/src/main/java/wallmoor/edge/Devices.java
@@ -15,7 +15,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wallmoor.config.ConfigException;
-import wallmoor.http.Threads;
+import wallmoor.threads.Threads;
 
 /**
  * The registered devices, from a CSV file of ids and hashes of tokens. A token is ID.SECRET; {@code devices add} draws
--- a/src/main/java/wallmoor/edge/EdgeQueries.java
+++ b/src/main/java/wallmoor/edge/EdgeQueries.java
@@ -18,7 +18,6 @@
 import wallmoor.core.QueryRequest;
 import wallmoor.core.Step;
 import wallmoor.core.WorkerTransport;
-import wallmoor.http.Threads;
 import wallmoor.idempotency.IdempotencyKey;
 import wallmoor.idempotency.IdempotencyLimits;
 import wallmoor.idempotency.IdempotentRequests;
@@ -27,6 +26,7 @@
 import wallmoor.idempotency.StoredOutcome;
 import wallmoor.json.Json;
 import wallmoor.queries.QueryBody;
+import wallmoor.threads.Threads;
 
 /**
  * Runs the queries of devices. The HTTP and CoAP fronts share one instance. It runs each query once, on a thread of its
--- a/src/main/java/wallmoor/frames/WorkerConnection.java
+++ b/src/main/java/wallmoor/frames/WorkerConnection.java
@@ -11,7 +11,7 @@
 import wallmoor.core.Gatherer;
 import wallmoor.core.Step;
 import wallmoor.core.Worker;
-import wallmoor.http.Threads;
+import wallmoor.threads.Threads;
 
 /**
  * One connection to a worker, which carries many parts at once. It has a socket and two threads: one connects and then
--- a/src/main/java/wallmoor/frames/WorkerConnectionPool.java
+++ b/src/main/java/wallmoor/frames/WorkerConnectionPool.java
@@ -10,7 +10,7 @@
 import wallmoor.core.Gatherer;
 import wallmoor.core.Step;
 import wallmoor.core.WorkerTransport;
-import wallmoor.http.Threads;
+import wallmoor.threads.Threads;
 
 /**
  * The connections to all workers: a few for each, where another one is opened when the existing ones are full. The
--- a/src/main/java/wallmoor/http/ConnectionSelector.java
+++ b/src/main/java/wallmoor/http/ConnectionSelector.java
@@ -10,6 +10,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
+import wallmoor.threads.Threads;
 
 /**
  * One thread that watches all connections of a server and passes on the bytes received. An idle connection therefore
--- a/src/main/java/wallmoor/http/Server.java
+++ b/src/main/java/wallmoor/http/Server.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import wallmoor.threads.Threads;
 
 /**
  * An HTTP/1.1 server. One thread watches the connections and collects their bytes; a blocking thread of a pool handles
--- a/src/main/java/wallmoor/inventory/InventorySource.java
+++ b/src/main/java/wallmoor/inventory/InventorySource.java
@@ -12,8 +12,8 @@
 import wallmoor.decision.ShardLayout;
 import wallmoor.endpoints.SourceEndpoint;
 import wallmoor.endpoints.WatchEvent;
-import wallmoor.http.Threads;
 import wallmoor.sources.EndpointSource;
+import wallmoor.threads.Threads;
 
 /**
  * Reads endpoints from an inventory file in CSV or YAML, as configuration tools write it. The file is polled for
--- a/src/main/java/wallmoor/migration/http/ConsensusPlanStore.java
+++ b/src/main/java/wallmoor/migration/http/ConsensusPlanStore.java
@@ -6,9 +6,9 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import wallmoor.http.Threads;
 import wallmoor.migration.MigrationAction;
 import wallmoor.migration.MigrationCoordinator.OperatorCommand;
+import wallmoor.threads.Threads;
 
 /**
  * Stores the plan as a document that gatherers agree on by consensus, with any number of proposers. One thread polls
--- a/src/main/java/wallmoor/migration/http/MigrationRunner.java
+++ b/src/main/java/wallmoor/migration/http/MigrationRunner.java
@@ -17,7 +17,6 @@
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import wallmoor.http.Threads;
 import wallmoor.migration.MigrationAction;
 import wallmoor.migration.MigrationCoordinator;
 import wallmoor.migration.MigrationCoordinator.OperatorCommand;
@@ -25,6 +24,7 @@
 import wallmoor.migration.MigrationStatus;
 import wallmoor.migration.MigrationStatus.MigrationPhase;
 import wallmoor.migration.ReplicaResponse;
+import wallmoor.threads.Threads;
 
 /**
  * Runs a {@link MigrationCoordinator}: the calling thread owns it and the plan; a pool of threads waits for the nodes'
--- a/src/main/java/wallmoor/ogc/FeatureServerTransport.java
+++ b/src/main/java/wallmoor/ogc/FeatureServerTransport.java
@@ -13,7 +13,7 @@
 import wallmoor.core.Gatherer;
 import wallmoor.core.Step;
 import wallmoor.core.WorkerTransport;
-import wallmoor.http.Threads;
+import wallmoor.threads.Threads;
 
 /** Runs attempts at feature servers, each on a thread of its own, and pools a few idle connections per server. */
 final class FeatureServerTransport implements WorkerTransport {
--- a/src/main/java/wallmoor/ogc/FeaturesFront.java
+++ b/src/main/java/wallmoor/ogc/FeaturesFront.java
@@ -15,11 +15,11 @@
 import wallmoor.endpoints.RegistryPolicy;
 import wallmoor.endpoints.SourcePolicy;
 import wallmoor.http.Server;
-import wallmoor.http.Threads;
 import wallmoor.inventory.InventorySource;
 import wallmoor.pruning.SummaryLeases;
 import wallmoor.rules.RuleReader;
 import wallmoor.sources.EndpointUpdater;
+import wallmoor.threads.Threads;
 
 /**
  * The front for OGC API - Features Part 1 (Core) with GeoJSON. Each page that a client requests is a query, each
--- a/src/main/java/wallmoor/operator/BanSynchronizer.java
+++ b/src/main/java/wallmoor/operator/BanSynchronizer.java
@@ -5,7 +5,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wallmoor.bans.BanRegister;
-import wallmoor.http.Threads;
+import wallmoor.threads.Threads;
 
 /**
  * Synchronizes the bans of operators' calls, the gatherer and the file. A change is in effect in the gatherer when the
--- a/src/main/java/wallmoor/peers/udp/GroupTransport.java
+++ b/src/main/java/wallmoor/peers/udp/GroupTransport.java
@@ -15,7 +15,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wallmoor.config.LaunchConfig;
-import wallmoor.http.Threads;
 import wallmoor.peers.GroupMembership;
 import wallmoor.peers.GroupMessage;
 import wallmoor.peers.GroupView;
@@ -23,6 +22,7 @@
 import wallmoor.peers.MembershipCounts;
 import wallmoor.peers.MembershipParameters;
 import wallmoor.peers.MembershipProtocol;
+import wallmoor.threads.Threads;
 
 /**
  * Runs the membership protocol over the network. It has one datagram socket, a thread that reads from it and a thread
--- a/src/main/java/wallmoor/peers/udp/SequentialAcceptor.java
+++ b/src/main/java/wallmoor/peers/udp/SequentialAcceptor.java
@@ -4,7 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import wallmoor.http.Threads;
+import wallmoor.threads.Threads;
 
 /** Accepts and handles connections one after another on a single thread, and closes each after it has been handled. */
 final class SequentialAcceptor implements AutoCloseable {
--- a/src/main/java/wallmoor/peers/udp/TableTransfer.java
+++ b/src/main/java/wallmoor/peers/udp/TableTransfer.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import wallmoor.http.Threads;
+import wallmoor.threads.Threads;
 
 /**
  * Transfers tables that are too large for a datagram, each over a connection of its own: the length in four bytes and
--- a/src/main/java/wallmoor/pruning/LeaseRenewal.java
+++ b/src/main/java/wallmoor/pruning/LeaseRenewal.java
@@ -10,10 +10,10 @@
 import org.slf4j.LoggerFactory;
 import wallmoor.config.SummariesConfig;
 import wallmoor.http.HttpProtocolException;
-import wallmoor.http.Threads;
 import wallmoor.json.Json;
 import wallmoor.summaries.Site;
 import wallmoor.summaries.SiteMessage;
+import wallmoor.threads.Threads;
 
 /**
  * Polls the servers in a fixed number of threads: applies and acknowledges the widenings of each, and renews each lease
--- a/src/main/java/wallmoor/service/ArchiveTraining.java
+++ b/src/main/java/wallmoor/service/ArchiveTraining.java
@@ -20,9 +20,9 @@
 import wallmoor.config.OperatorConfig;
 import wallmoor.core.MonotonicClock;
 import wallmoor.http.InheritedListener;
-import wallmoor.http.Threads;
 import wallmoor.json.Json;
 import wallmoor.operator.BanFile;
+import wallmoor.threads.Threads;
 
 /**
  * Runs the complete program from start to shutdown on loopback, with a simulated node list, nodes, clients and an
--- a/src/main/java/wallmoor/service/CalendarNodes.java
+++ b/src/main/java/wallmoor/service/CalendarNodes.java
@@ -16,10 +16,10 @@
 import wallmoor.discovery.DiscoveryWatch;
 import wallmoor.frames.ConnectionLimits;
 import wallmoor.frames.WorkerConnectionPool;
-import wallmoor.http.Threads;
 import wallmoor.json.Json;
 import wallmoor.metrics.GathererMetrics;
 import wallmoor.sources.EndpointUpdater;
+import wallmoor.threads.Threads;
 
 /**
  * The calendar nodes and what all fronts share to query them: one gatherer, one connection pool and one endpoint
--- a/src/main/java/wallmoor/service/GroupService.java
+++ b/src/main/java/wallmoor/service/GroupService.java
@@ -12,7 +12,6 @@
 import org.slf4j.MarkerFactory;
 import wallmoor.config.FleetConfig;
 import wallmoor.config.LaunchConfig;
-import wallmoor.http.Threads;
 import wallmoor.log.Logging;
 import wallmoor.peers.GroupView;
 import wallmoor.peers.GroupView.MemberState;
@@ -21,6 +20,7 @@
 import wallmoor.peers.MembershipParameters;
 import wallmoor.peers.udp.FleetControlServer;
 import wallmoor.peers.udp.GroupTransport;
+import wallmoor.threads.Threads;
 
 /** Runs this gatherer's membership in the group, and logs each change of view together with its cause. */
 final class GroupService {
--- a/src/main/java/wallmoor/service/WarmUp.java
+++ b/src/main/java/wallmoor/service/WarmUp.java
@@ -21,9 +21,9 @@
 import wallmoor.http.ConnectionAcceptor;
 import wallmoor.http.HttpProtocolException;
 import wallmoor.http.HttpReader;
-import wallmoor.http.Threads;
 import wallmoor.metrics.GathererMetrics;
 import wallmoor.platform.PlatformFront;
+import wallmoor.threads.Threads;
 
 /**
  * Sends synthetic queries through a separate front, from the client's bytes to a worker's frames and back, before the
--- a/src/main/java/wallmoor/sources/EndpointUpdater.java
+++ b/src/main/java/wallmoor/sources/EndpointUpdater.java
@@ -19,7 +19,7 @@
 import wallmoor.endpoints.SourceEndpoint;
 import wallmoor.endpoints.SourceStatus;
 import wallmoor.endpoints.WatchEvent;
-import wallmoor.http.Threads;
+import wallmoor.threads.Threads;
 
 /**
  * Applies the sources' watch events to the registry, and publishes the registry's changes to the gatherer that uses
--- a/src/main/java/wallmoor/sources/SuspectProber.java
+++ b/src/main/java/wallmoor/sources/SuspectProber.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
-import wallmoor.http.Threads;
+import wallmoor.threads.Threads;
 
 /** Probes suspected endpoints by connecting to them, so that no query is risked on them. Owns one thread. */
 final class SuspectProber {
--- a/src/main/java/wallmoor/http/Threads.java
+++ b/src/main/java/wallmoor/threads/Threads.java
@@ -1,4 +1,4 @@
-package wallmoor.http;
+package wallmoor.threads;
 
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadFactory;
--- a/src/main/java/wallmoor/upgrade/HeartbeatFiles.java
+++ b/src/main/java/wallmoor/upgrade/HeartbeatFiles.java
@@ -9,7 +9,7 @@
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import wallmoor.http.Threads;
+import wallmoor.threads.Threads;
 
 /**
  * Writes this process's heartbeats to a shared directory and reads those of the other processes. If the directory is
--- a/src/test/java/wallmoor/LayersTest.java
+++ b/src/test/java/wallmoor/LayersTest.java
@@ -17,59 +17,59 @@
 /** The permitted dependencies between packages: fronts use the core, the core uses decisions, never the reverse. */
 public class LayersTest {
     private static final Map<String, Set<String>> MAY_USE = Map.ofEntries(
-            entry("decision"), entry("json"), entry("http"),
+            entry("decision"), entry("json"), entry("threads"), entry("http", "threads"),
             entry("config", "decision", "json", "placement", "maintenance"), entry("log", "config"),
             entry("core", "decision", "metrics"), entry("adapter", "decision", "config"),
             // decides on endpoints: no I/O; of the core it may use only the type of an endpoint
             entry("endpoints", "core"),
-            entry("sources", "endpoints", "core", "http"),
-            entry("discovery", "sources", "endpoints", "core", "config", "http", "json"),
-            entry("inventory", "sources", "endpoints", "core", "config", "http", "decision"),
-            entry("dns", "sources", "endpoints", "core", "config", "http"),
-            entry("frames", "core", "config", "http"),
+            entry("sources", "endpoints", "core", "threads"),
+            entry("discovery", "sources", "endpoints", "core", "config", "http", "threads", "json"),
+            entry("inventory", "sources", "endpoints", "core", "config", "threads", "decision"),
+            entry("dns", "sources", "endpoints", "core", "config", "threads"),
+            entry("frames", "core", "config", "http", "threads"),
             entry("platform", "queries", "core", "config", "http", "json"),
             entry("queries", "core", "json"),
             // decides on devices' requests: no I/O, no use of the core
             entry("idempotency"),
-            entry("edge", "idempotency", "queries", "core", "config", "http", "json", "decision"),
+            entry("edge", "idempotency", "queries", "core", "config", "threads", "json", "decision"),
             entry("edge.http", "edge", "idempotency", "queries", "config", "http"),
             entry("edge.coap", "edge", "idempotency", "queries", "config"),
             // decides which requests may use memory of the heap: no I/O, no use of the core
             entry("memory"),
             entry("ogc", "memory", "pruning", "summaries", "rules", "sources", "inventory", "endpoints", "core",
                     "config",
-                    "http", "json", "decision"),
+                    "http", "threads", "json", "decision"),
             // decides which gatherers are group members: no I/O, no use of the core
             entry("peers"),
             // counts and decides for the operators' address: no I/O
             entry("metrics"), entry("bans"),
-            entry("operator", "bans", "http"),
-            entry("upgrade", "http"),
+            entry("operator", "bans", "http", "threads"),
+            entry("upgrade", "threads"),
             // decides which rule version is active: no I/O; may use only the JSON reader
             entry("rules", "json"),
             // client and server of a control port, through which commands reach a running gatherer
-            entry("control", "http", "json"),
+            entry("control", "threads", "json"),
             // consensus on rules: the log, files and connections of a Raft library, and the control port
-            entry("consensus", "rules", "config", "control", "http", "json", "log"),
+            entry("consensus", "rules", "config", "control", "threads", "json", "log"),
             // decides which blocks move between nodes: no I/O, no use of the core
             entry("placement"),
             // decides how moves are executed: no I/O
             entry("migration", "placement", "rules", "json"),
             // decides which machines are taken out of service for maintenance, and when: no I/O
             entry("maintenance", "rules", "json"),
-            entry("migration.http", "migration", "rules", "json", "http"),
+            entry("migration.http", "migration", "rules", "json", "threads"),
             // runs the production decision code on a simulated clock; never used by serve
             entry("simulation", "peers", "rules"),
-            entry("peers.udp", "peers", "config", "control", "http"),
+            entry("peers.udp", "peers", "config", "control", "threads"),
             entry("service", "consensus", "rules", "operator", "metrics", "bans", "upgrade", "peers", "peers.udp",
                     "edge", "edge.http", "edge.coap", "idempotency", "platform", "ogc", "frames", "discovery",
                     "inventory",
                     "dns", "sources", "endpoints",
-                    "core", "config", "http", "json", "log", "decision"),
+                    "core", "config", "http", "threads", "json", "log", "decision"),
             // decides which sites can hold rows that match a query: no I/O, no use of the core
             entry("summaries"),
             // requests summaries from sites: I/O only, no decisions
-            entry("pruning", "summaries", "rules", "config", "http", "json", "log"),
+            entry("pruning", "summaries", "rules", "config", "http", "threads", "json", "log"),
             entry("client"),
             entry("cli", "migration", "migration.http", "rules", "summaries", "client", "edge", "service", "inventory",
                     "dns", "endpoints", "placement", "maintenance", "config",
