--- a/src/test/java/wallmoor/edge/coap/ProtocolExecutorTest.java
+++ b/src/test/java/wallmoor/edge/coap/ProtocolExecutorTest.java
@@ -14,18 +14,22 @@
     private static final int MAX_QUEUED_TASKS = 3;
     private static final long SETTLE_MILLIS = 100;
 
+    private final CountDownLatch firstHasBegun = new CountDownLatch(1);
     private final CountDownLatch release = new CountDownLatch(1);
     private final CountDownLatch hasCapacity = new CountDownLatch(1);
 
-    private ProtocolExecutor executorWithMaximumOfTasks() {
+    /** Returns an executor with one task that has begun and the others waiting for its thread. */
+    private ProtocolExecutor executorWithMaximumOfTasks() throws InterruptedException {
         var executor = new ProtocolExecutor(1, MAX_QUEUED_TASKS, new DaemonThreadFactory("test#"));
         for (int i = 0; i < MAX_QUEUED_TASKS; i++) {
             executor.execute(this::awaitRelease);
         }
+        assertTrue(firstHasBegun.await(5, TimeUnit.SECONDS));
         return executor;
     }
 
     private void awaitRelease() {
+        firstHasBegun.countDown();
         try {
             release.await();
         } catch (InterruptedException e) {
