Start the loop of a long-lived thread again if it fails, and end the process if that does not help

What callers saw: a gatherer that reports to be ready and accepts connections, but answers late or never.

Cause: an error, above all an exhausted heap, ended the one long-lived thread that it reached, without which no attempt times out, no connection is closed or no changed file is read. The executor of `rules-control` even kept the error.

Change: Threads.startEssential starts such a loop again, up to ten times a minute; then ThreadFailureHandler ends the process with exit code 4. It does not end at once, as the platform counts each exit as a crash. An error on the Raft library's thread ends it, as that library's state is unknown then. A connection contains a stack overflow.

Tests: FailedThreadTest throws the error in the real program by a debugger; it and ControlThreadTest failed before (the thread was gone, the process lived on).

--- a/src/main/java/wallmoor/Main.java
+++ b/src/main/java/wallmoor/Main.java
@@ -20,6 +20,7 @@
 import wallmoor.service.Service;
 import wallmoor.service.WarmUp;
 import wallmoor.signals.HangUp;
+import wallmoor.threads.ThreadFailureHandler;
 
 /**
  * The entry point. {@code serve} runs a gatherer, {@code simulate} speaks the simulator's protocol on the standard
@@ -50,7 +51,7 @@
 
     /**
      * Runs a subcommand. Exits with 0 at end of input, 1 on a malformed line, 2 on wrong usage or configuration, 3 if
-     * another process owns the stored files.
+     * another process owns the stored files, 4 if a thread failed that serving needs.
      */
     public static void main(String[] args) throws IOException, InterruptedException {
         switch (args.length == 1 ? args[0] : "") {
@@ -74,6 +75,7 @@
 
     /** Runs everything that serving does from start to shutdown, so that the archive contains the classes it needs. */
     private static void trainArchive() throws InterruptedException {
+        ThreadFailureHandler.install();
         onHangUp();
         LaunchConfig launch = LaunchConfig.read(System.getenv());
         OperatorConfig operator = OperatorConfig.read(System.getenv(), launch);
@@ -88,6 +90,7 @@
     }
 
     private static void serve() {
+        ThreadFailureHandler.install();
         try {
             onHangUp();
             LaunchConfig launch = LaunchConfig.read(System.getenv());
--- a/src/main/java/wallmoor/consensus/ControlThread.java
+++ b/src/main/java/wallmoor/consensus/ControlThread.java
@@ -9,10 +9,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wallmoor.rules.CorruptDataException;
+import wallmoor.threads.Threads;
 
 /**
  * The single thread that owns the consensus state of this process and also runs the Raft library. A failed task is
- * logged and does not affect others. Tasks submitted after {@link #shutDown} are dropped.
+ * logged and does not affect others; an error ends the process. Tasks submitted after {@link #shutDown} are dropped.
  */
 final class ControlThread implements RaftNodeExecutor {
     /** A task that may fail on disk or network data. */
@@ -23,11 +24,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(ControlThread.class);
     private static final long STACK_BYTES = 512 * 1024;
 
-    private final ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(1, work -> {
-        Thread thread = new Thread(null, work, "rules-control", STACK_BYTES);
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(1,
+            Threads.essentialFactory("rules-control", STACK_BYTES));
 
     ControlThread() {
         executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
@@ -58,6 +56,9 @@
             task.run();
         } catch (IOException | CorruptDataException | RuntimeException e) {
             LOG.warn("rules: control thread task failed: error={}", e.toString());
+        } catch (Error e) {
+            Threads.reportUncaught(e);
+            throw e;
         }
     }
 
--- a/src/main/java/wallmoor/consensus/TcpTransport.java
+++ b/src/main/java/wallmoor/consensus/TcpTransport.java
@@ -73,7 +73,7 @@
     /** Begins to accept and to dial. */
     void start(PacketListener packetListener) {
         listener = packetListener;
-        Threads.start("rules-links", this::run);
+        Threads.startEssential("rules-links", this::run);
     }
 
     // ---- any thread ---------------------------------------------------------------------------------------
--- a/src/main/java/wallmoor/control/ControlServer.java
+++ b/src/main/java/wallmoor/control/ControlServer.java
@@ -55,7 +55,7 @@
 
     /** Begins to respond. */
     public void start(ControlHandler handler) {
-        Threads.start(threadName, () -> {
+        Threads.startEssential(threadName, () -> {
             while (!server.isClosed()) {
                 accept(handler);
             }
--- a/src/main/java/wallmoor/discovery/DiscoveryWatch.java
+++ b/src/main/java/wallmoor/discovery/DiscoveryWatch.java
@@ -68,7 +68,7 @@
     public void start(Consumer<WatchEvent> eventListener) {
         listener = eventListener;
         tracker.onProcessStarted();
-        Threads.start("discovery", this::run);
+        Threads.startEssential("discovery", this::run);
     }
 
     /**
--- a/src/main/java/wallmoor/dns/DnsSource.java
+++ b/src/main/java/wallmoor/dns/DnsSource.java
@@ -92,7 +92,7 @@
 
     @Override
     public void start(Consumer<WatchEvent> listener) {
-        Threads.start("dns-" + service.name(), () -> run(listener));
+        Threads.startEssential("dns-" + service.name(), () -> run(listener));
     }
 
     private void run(Consumer<WatchEvent> listener) {
--- a/src/main/java/wallmoor/edge/Devices.java
+++ b/src/main/java/wallmoor/edge/Devices.java
@@ -41,7 +41,7 @@
 
     /** Starts to watch the file for changes. */
     public void start() {
-        Threads.start("devices", this::reloadLoop);
+        Threads.startEssential("devices", this::reloadLoop);
     }
 
     /** Returns the id of the device whose token this is, or null. */
--- a/src/main/java/wallmoor/edge/EdgeQueries.java
+++ b/src/main/java/wallmoor/edge/EdgeQueries.java
@@ -78,7 +78,7 @@
 
     /** Starts the timers that expire requests. */
     public void start() {
-        Threads.start("edge-timers", this::runTimers);
+        Threads.startEssential("edge-timers", this::runTimers);
     }
 
     /** Limits the deadlines of all queries: the program ends in so many milliseconds. */
--- a/src/main/java/wallmoor/frames/WorkerConnectionPool.java
+++ b/src/main/java/wallmoor/frames/WorkerConnectionPool.java
@@ -35,7 +35,7 @@
     public WorkerConnectionPool(Gatherer gatherer, ConnectionLimits limits) {
         this.gatherer = gatherer;
         this.limits = limits;
-        watchThread = Threads.start("worker-watch", this::watchStuckConnections);
+        watchThread = Threads.startEssential("worker-watch", this::watchStuckConnections);
     }
 
     /** Closes all connections and stops the check for stuck connections. */
--- a/src/main/java/wallmoor/http/Connection.java
+++ b/src/main/java/wallmoor/http/Connection.java
@@ -216,7 +216,7 @@
             }
         } catch (IOException e) {
             // the client has disconnected, or its bytes beyond the limit were discarded
-        } catch (RuntimeException | OutOfMemoryError e) {
+        } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
             server.connectionFailed(e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/main/java/wallmoor/http/ConnectionSelector.java
+++ b/src/main/java/wallmoor/http/ConnectionSelector.java
@@ -34,7 +34,7 @@
     ConnectionSelector(String name, Consumer<String> log) throws IOException {
         this.log = log;
         selector = Selector.open();
-        Threads.start(name + "-rest", this::run);
+        Threads.startEssential(name + "-rest", this::run);
     }
 
     /** Returns the output over a channel; the channel is not read before {@link ChannelOutput#startReading}. */
--- a/src/main/java/wallmoor/http/Server.java
+++ b/src/main/java/wallmoor/http/Server.java
@@ -122,8 +122,8 @@
         try {
             var selector = new ConnectionSelector(name, log);
             accepting = true;
-            Threads.start(name + "-accept", () -> accept(selector));
-            Threads.start(name + "-watch", this::closeExpired);
+            Threads.startEssential(name + "-accept", () -> accept(selector));
+            Threads.startEssential(name + "-watch", this::closeExpired);
         } catch (IOException e) {
             throw new UncheckedIOException("cannot open a selector for connections: raise the limit on open files", e);
         }
--- a/src/main/java/wallmoor/inventory/InventorySource.java
+++ b/src/main/java/wallmoor/inventory/InventorySource.java
@@ -63,7 +63,7 @@
 
     @Override
     public void start(Consumer<WatchEvent> listener) {
-        Threads.start(NAME, () -> run(listener));
+        Threads.startEssential(NAME, () -> run(listener));
     }
 
     private void run(Consumer<WatchEvent> listener) {
--- a/src/main/java/wallmoor/ogc/FeaturesFront.java
+++ b/src/main/java/wallmoor/ogc/FeaturesFront.java
@@ -77,7 +77,7 @@
     /** Starts to serve requests. */
     public void start() {
         endpointUpdater.start();
-        Threads.start("ogc-timers", gatherer::runTimers);
+        Threads.startEssential("ogc-timers", gatherer::runTimers);
         server.start();
     }
 
--- a/src/main/java/wallmoor/operator/BanSynchronizer.java
+++ b/src/main/java/wallmoor/operator/BanSynchronizer.java
@@ -57,7 +57,7 @@
 
     void start() {
         if (file != null) {
-            thread = Threads.start("operator-bans", this::run);
+            thread = Threads.startEssential("operator-bans", this::run);
         }
     }
 
--- a/src/main/java/wallmoor/peers/udp/GroupTransport.java
+++ b/src/main/java/wallmoor/peers/udp/GroupTransport.java
@@ -107,8 +107,8 @@
     public void start() {
         handle(() -> membership.onStart(nowMicros()));
         tables.start();
-        Threads.start("peers-read", this::readDatagrams);
-        Threads.start("peers-tick", this::tick);
+        Threads.startEssential("peers-read", this::readDatagrams);
+        Threads.startEssential("peers-tick", this::tick);
     }
 
     /** Announces that this member leaves and closes the sockets. */
--- a/src/main/java/wallmoor/peers/udp/SequentialAcceptor.java
+++ b/src/main/java/wallmoor/peers/udp/SequentialAcceptor.java
@@ -33,7 +33,7 @@
      * @param onFailure runs after each connection that could not be accepted or handled, unless this is closed
      */
     void start(String threadName, ConnectionHandler handler, Runnable onFailure) {
-        Threads.start(threadName, () -> {
+        Threads.startEssential(threadName, () -> {
             while (!isClosed()) {
                 acceptOne(handler, onFailure);
             }
--- a/src/main/java/wallmoor/peers/udp/TableTransfer.java
+++ b/src/main/java/wallmoor/peers/udp/TableTransfer.java
@@ -54,7 +54,7 @@
 
     void start() {
         acceptor.start("peers-tables-in", this::receive, failed::inc);
-        Threads.start("peers-tables-out", this::sendQueued);
+        Threads.startEssential("peers-tables-out", this::sendQueued);
     }
 
     /** Queues a table for sending; returns false if the queue is full. */
--- a/src/main/java/wallmoor/pruning/LeaseRenewal.java
+++ b/src/main/java/wallmoor/pruning/LeaseRenewal.java
@@ -60,7 +60,7 @@
     void start() {
         for (int i = 0; i < THREADS; i++) {
             int thread = i;
-            Threads.start("summaries-" + i, () -> run(thread));
+            Threads.startEssential("summaries-" + i, () -> run(thread));
         }
     }
 
--- a/src/main/java/wallmoor/service/CalendarNodes.java
+++ b/src/main/java/wallmoor/service/CalendarNodes.java
@@ -83,7 +83,7 @@
     /** Begins to watch the sources and to run the gatherer's timers. */
     void start() {
         endpointUpdater().start();
-        timers = Threads.start("timers", gatherer::runTimers);
+        timers = Threads.startEssential("timers", gatherer::runTimers);
     }
 
     /** Applies reloaded files except their settings: the watch's address and the way DNS is queried. */
--- a/src/main/java/wallmoor/service/GroupService.java
+++ b/src/main/java/wallmoor/service/GroupService.java
@@ -66,7 +66,7 @@
 
     void start() {
         transport.start();
-        Threads.start("group-share", this::watchPosition);
+        Threads.startEssential("group-share", this::watchPosition);
         if (control != null) {
             control.start();
             LOG.info("group control port open: address={}", controlAddress);
--- a/src/main/java/wallmoor/sources/EndpointUpdater.java
+++ b/src/main/java/wallmoor/sources/EndpointUpdater.java
@@ -69,7 +69,7 @@
             gatherer.control().updateEndpoints(false, List.of()); // the decision module need not wait for a list
         }
         if (sources.size() > 1 || !hasEndpointList()) { // the endpoint list alone needs no timers
-            Threads.start("endpoint-timers", this::runTimers);
+            Threads.startEssential("endpoint-timers", this::runTimers);
             new SuspectProber(this::suspectedAddresses, this::reportConnection).start();
         }
         for (EndpointSource source : sources) {
--- a/src/main/java/wallmoor/sources/SuspectProber.java
+++ b/src/main/java/wallmoor/sources/SuspectProber.java
@@ -29,7 +29,7 @@
     }
 
     void start() {
-        Threads.start("endpoint-probes", this::run);
+        Threads.startEssential("endpoint-probes", this::run);
     }
 
     private void run() {
--- a/src/main/java/wallmoor/threads/Threads.java
+++ b/src/main/java/wallmoor/threads/Threads.java
@@ -12,9 +12,22 @@
 
     private Threads() {}
 
-    /** Starts a daemon thread. */
+    /** Starts a daemon thread for one connection or one task. The process goes on if it fails. */
     public static Thread start(String name, Runnable work) {
-        Thread thread = new Thread(null, work, name, STACK_BYTES);
+        return started(new Thread(null, work, name, STACK_BYTES));
+    }
+
+    /**
+     * Starts a daemon thread that the process can't work without. It starts its loop again if that fails, and ends the
+     * process if it fails too often.
+     *
+     * @param loop may be started again at any time; the thread ends when it returns
+     */
+    public static Thread startEssential(String name, Runnable loop) {
+        return started(new EssentialThread(name, new RestartedLoop(loop), STACK_BYTES));
+    }
+
+    private static Thread started(Thread thread) {
         thread.setDaemon(true);
         thread.start();
         return thread;
@@ -34,4 +47,24 @@
         };
         return new ThreadPoolExecutor(0, maxThreads, 20, TimeUnit.SECONDS, new SynchronousQueue<>(), named);
     }
+
+    /**
+     * Returns a factory of one essential thread for a scheduled executor. As such an executor keeps what its tasks
+     * throw, a task reports an error that ends the process by {@link #reportUncaught}.
+     *
+     * @param stackBytes the size of its stack
+     */
+    public static ThreadFactory essentialFactory(String name, long stackBytes) {
+        return work -> {
+            Thread thread = new EssentialThread(name, work, stackBytes);
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+
+    /** Hands an error to the handler that it would reach if nothing caught it. */
+    public static void reportUncaught(Error error) {
+        Thread thread = Thread.currentThread();
+        thread.getUncaughtExceptionHandler().uncaughtException(thread, error);
+    }
 }
--- a/src/main/java/wallmoor/threads/package-info.java
+++ b/src/main/java/wallmoor/threads/package-info.java
@@ -1,2 +1,2 @@
-/** Creates the threads of the process, and ends the process if it can't go on without one of them. */
+/** Creates the threads of the process, and handles their failures. */
 package wallmoor.threads;
--- a/src/main/java/wallmoor/upgrade/HeartbeatFiles.java
+++ b/src/main/java/wallmoor/upgrade/HeartbeatFiles.java
@@ -53,7 +53,7 @@
     public void start() {
         poll();
         poll(); // the first poll published the claim, so a process that is alone may now use it
-        Threads.start("upgrade-watch", this::run);
+        Threads.startEssential("upgrade-watch", this::run);
     }
 
     /**
