Reject a devices file or inventory that fills the heap, and read the next one

What callers saw: a removed device was served, and a removed server asked, until the next start.

Cause: the threads that read these files caught faults of the content, but not an exhausted heap, which ended them.

Change: an exhausted heap rejects the file as any other fault does; the last valid content stays in use, and the same file is not read with each poll.

One fault on two readers, hence one commit.

--- a/src/main/java/wallmoor/edge/Devices.java
+++ b/src/main/java/wallmoor/edge/Devices.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
 import java.security.MessageDigest;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -27,11 +28,21 @@
     private static final long RELOAD_INTERVAL_MILLIS = 400;
     private static final int MAX_FILE_BYTES = 32 << 20;
     private static final int HASH_BYTES = 32;
+    private static final String KEY = "edge.devices";
 
     private final Logger log = LoggerFactory.getLogger(Devices.class);
     private final Path file;
     private volatile Map<String, byte[]> hashes;
     private byte[] lastContents;
+    /** The file that did not fit into the heap, or null; it is read again only if it has changed. */
+    private FileVersion tooLarge;
+
+    /** Tells two contents of the file apart without reading it. */
+    private record FileVersion(long size, FileTime modifiedAt) {
+        static FileVersion of(Path file) throws IOException {
+            return new FileVersion(Files.size(file), Files.getLastModifiedTime(file));
+        }
+    }
 
     /** Reads the file for the first time, and throws {@link ConfigException} if it is invalid. */
     public Devices(Path file) {
@@ -87,15 +98,28 @@
 
     /** Reads the file; returns null if it has not changed. */
     private Map<String, byte[]> read() {
-        byte[] contents;
         try {
-            if (Files.size(file) > MAX_FILE_BYTES) {
-                throw new ConfigException("edge.devices", file + " is larger than " + MAX_FILE_BYTES + " bytes");
+            FileVersion version = FileVersion.of(file);
+            if (version.size() > MAX_FILE_BYTES) {
+                throw new ConfigException(KEY, file + " is larger than " + MAX_FILE_BYTES + " bytes");
             }
-            contents = Files.readAllBytes(file);
+            return version.equals(tooLarge) ? null : readWithinHeap(version);
         } catch (IOException e) {
-            throw new ConfigException("edge.devices", file + " can't be read: " + e);
+            throw new ConfigException(KEY, file + " can't be read: " + e);
         }
+    }
+
+    private Map<String, byte[]> readWithinHeap(FileVersion version) throws IOException {
+        try {
+            tooLarge = null;
+            return parseIfChanged(Files.readAllBytes(file));
+        } catch (OutOfMemoryError e) {
+            tooLarge = version;
+            throw new ConfigException(KEY, file + " does not fit into the heap: remove devices or raise memory_mb");
+        }
+    }
+
+    private Map<String, byte[]> parseIfChanged(byte[] contents) {
         if (Arrays.equals(contents, lastContents)) {
             return null;
         }
@@ -113,15 +137,15 @@
                 String position = file.getFileName() + " line " + rows.getCurrentLineNumber() + ": ";
                 if (!row.isConsistent() || !row.get("device").matches("[A-Za-z0-9_-]{1,64}")
                         || !row.get("sha256").matches("[0-9a-f]{64}")) {
-                    throw new ConfigException("edge.devices", position + "is not DEVICE,SHA256");
+                    throw new ConfigException(KEY, position + "is not DEVICE,SHA256");
                 }
                 if (parsed.put(row.get("device"), HexFormat.of().parseHex(row.get("sha256"))) != null) {
-                    throw new ConfigException("edge.devices",
+                    throw new ConfigException(KEY,
                             position + "device " + row.get("device") + " is listed twice");
                 }
             }
         } catch (IOException | java.io.UncheckedIOException | IllegalArgumentException e) {
-            throw new ConfigException("edge.devices", file.getFileName() + " is not valid CSV: " + e.getMessage());
+            throw new ConfigException(KEY, file.getFileName() + " is not valid CSV: " + e.getMessage());
         }
         return parsed;
     }
--- a/src/main/java/wallmoor/inventory/InventorySource.java
+++ b/src/main/java/wallmoor/inventory/InventorySource.java
@@ -110,9 +110,13 @@
             return null;
         }
         parsed = content;
-        List<SourceEndpoint> endpoints = parser.parse(content);
-        first = false;
-        return endpoints;
+        try {
+            List<SourceEndpoint> endpoints = parser.parse(content);
+            first = false;
+            return endpoints;
+        } catch (OutOfMemoryError e) {
+            throw new ConfigException(NAME, file + " does not fit into the heap: remove hosts or raise memory_mb");
+        }
     }
 
     private byte[] read() {
