Answer 502 if the values of a query's parts do not fit into a body of 64 KiB

Cause: the values were encoded without a limit on their sum; the edge checked its limit after encoding.

Change: QueryBody.encodeAnswer stops at the limit, for the platform's front and the edge.

Tests: PlatformTest.failsQueryWhoseAnswerIsLargerThanABodyMayBe failed before (200 with 80 KB); QueryBodyTest.

--- a/src/main/java/wallmoor/edge/EdgeQueries.java
+++ b/src/main/java/wallmoor/edge/EdgeQueries.java
@@ -219,11 +219,9 @@
 
     private StoredOutcome outcome(Step.FinalStep finalStep, boolean isIdempotent) {
         if (finalStep instanceof Step.Answer answer) {
-            var json = new StringBuilder(64 + 64 * answer.values().size()).append("{\"outcome\":\"answered\",");
-            QueryBody.appendHits(json, answer);
-            byte[] body = json.append('}').toString().getBytes(StandardCharsets.UTF_8);
+            byte[] body = QueryBody.encodeAnswer("\"outcome\":\"answered\",", answer, limits.maxOutcomeBytes());
             // more than the memory reserved for the outcome: it can't be stored, hence not be replayed
-            if (body.length > limits.maxOutcomeBytes()) {
+            if (body == null) {
                 return failed(true,
                         "answered with more than the " + limits.maxOutcomeBytes() + " bytes that an outcome may have");
             }
--- a/src/main/java/wallmoor/queries/QueryBody.java
+++ b/src/main/java/wallmoor/queries/QueryBody.java
@@ -20,6 +20,7 @@
  */
 public record QueryBody(String text, String className, double timeoutMillis, List<Query.PartRequest> parts) {
     private static final int MAX_PARTS = 1000;
+    private static final int ESTIMATED_BYTES_PER_VALUE = 64;
     /** The allowed rounding error in the sum of weights, which must be 1. */
     private static final double WEIGHT_TOLERANCE = 0.01;
     private static final List<String> MEMBERS = List.of("shards", "q", "class", "deadline_ms");
@@ -138,15 +139,27 @@
         return value instanceof Number n ? n.doubleValue() : -1;
     }
 
-    /** Appends the members {@code complete} and {@code hits} of an answer. */
-    public static void appendHits(StringBuilder to, Step.Answer answer) {
-        to.append("\"complete\":").append(answer.complete()).append(",\"hits\":[");
-        for (int i = 0; i < answer.values().size(); i++) {
-            Step.PartValue value = answer.values().get(i);
-            to.append(i == 0 ? "" : ",").append("{\"shard\":").append(value.shard()).append(",\"doc\":");
-            Json.quote(to, new String(value.bytes(), StandardCharsets.UTF_8));
-            to.append('}');
+    /**
+     * Encodes an answer as a JSON object.
+     *
+     * @param firstMembers the text of the members before {@code complete} and {@code hits}, each with a comma after it
+     * @param maxBytes     the maximum size of the object; no more than this and one value is held in memory
+     * @return null if the object is larger
+     */
+    public static byte[] encodeAnswer(String firstMembers, Step.Answer answer, int maxBytes) {
+        var json = new StringBuilder(ESTIMATED_BYTES_PER_VALUE * (1 + answer.values().size()));
+        json.append('{').append(firstMembers).append("\"complete\":").append(answer.complete()).append(",\"hits\":[");
+        String separator = "";
+        for (Step.PartValue value : answer.values()) {
+            json.append(separator).append("{\"shard\":").append(value.shard()).append(",\"doc\":");
+            Json.quote(json, new String(value.bytes(), StandardCharsets.UTF_8));
+            json.append('}');
+            separator = ",";
+            if (json.length() > maxBytes) {
+                return null;
+            }
         }
-        to.append(']');
+        byte[] encoded = json.append("]}").toString().getBytes(StandardCharsets.UTF_8);
+        return encoded.length <= maxBytes ? encoded : null;
     }
 }
--- a/src/test/java/wallmoor/net/PlatformTest.java
+++ b/src/test/java/wallmoor/net/PlatformTest.java
@@ -304,4 +304,18 @@
             Thread.currentThread().interrupt();
         }
     }
+
+    /** Guards against answers beyond the 64 KiB that a body may have; no value may be left out of an answer. */
+    @Test
+    public void failsQueryWhoseAnswerIsLargerThanABodyMayBe() throws Exception {
+        var even = startWorker(id -> "ok");
+        var odd = startWorker(id -> "ok");
+        start(even.member("a", 0, "SERVING"), odd.member("b", 1, "SERVING"));
+        even.value = "x".repeat(40_000);
+        assertEquals(200, Client.post(program.port, "q1", "all", 1900, 0, 1).status);
+        odd.value = "x".repeat(40_000);
+        Client.Answer answer = Client.post(program.port, "q2", "all", 1900, 0, 1);
+        assertEquals(502, answer.status);
+        assertEquals("failed: the answer has more than 65536 bytes\n", answer.body);
+    }
 }
--- a/src/test/java/wallmoor/queries/QueryBodyTest.java
+++ b/src/test/java/wallmoor/queries/QueryBodyTest.java
@@ -1,5 +1,6 @@
 package wallmoor.queries;
 
+import static org.junit.Assert.assertArrayEquals;
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertThrows;
@@ -11,6 +12,7 @@
 import java.util.List;
 import org.junit.Test;
 import wallmoor.core.Query;
+import wallmoor.core.Step;
 import wallmoor.json.Json;
 
 /** Tests what a query's body means, and that reading it takes little memory, whatever a client sends. */
@@ -90,4 +92,16 @@
             // the memory counts in either case
         }
     }
+
+    @Test
+    public void encodesAnAnswerUpToTheMaximumSize() {
+        byte[] first = "caf\u00e9".getBytes(StandardCharsets.UTF_8);
+        byte[] second = "\"".getBytes(StandardCharsets.UTF_8);
+        var answer = new Step.Answer(true, List.of(new Step.PartValue(3, first), new Step.PartValue(0, second)));
+        String json = "{\"complete\":true,\"hits\":[{\"shard\":3,\"doc\":\"caf\u00e9\"},"
+                + "{\"shard\":0,\"doc\":\"\\\"\"}]}";
+        byte[] expected = json.getBytes(StandardCharsets.UTF_8);
+        assertArrayEquals(expected, QueryBody.encodeAnswer("", answer, expected.length));
+        assertNull(QueryBody.encodeAnswer("", answer, expected.length - 1));
+    }
 }
