--- a/src/main/java/wallmoor/http/MessageSyntax.java
+++ b/src/main/java/wallmoor/http/MessageSyntax.java
@@ -1,6 +1,7 @@
 package wallmoor.http;
 
 import java.util.List;
+import java.util.Locale;
 
 /** The syntax of HTTP/1.1 messages and the limits on their size, for {@link HttpReader} and {@link RequestScanner}. */
 final class MessageSyntax {
@@ -34,6 +35,31 @@
         return fields;
     }
 
+    /** Returns the status of a status line: {@code HTTP/1.0} or {@code 1.1}, 100 to 599 and an optional reason. */
+    static int parseStatus(String line) throws HttpProtocolException {
+        boolean isValid = (line.startsWith("HTTP/1.0 ") || line.startsWith("HTTP/1.1 ")) && line.length() >= 12
+                && line.charAt(9) >= '1' && line.charAt(9) <= '5'
+                && containsOnly(DIGITS, line.substring(10, 12))
+                && (line.length() == 12 || line.charAt(12) == ' ') && line.indexOf('\r') < 0
+                && line.indexOf('\u0085') < 0;
+        if (!isValid) {
+            throw new HttpProtocolException(400, "malformed status line");
+        }
+        return Integer.parseInt(line.substring(9, 12));
+    }
+
+    /**
+     * Returns whether the connection stays open after a message.
+     *
+     * @param headers names and values in turn
+     */
+    static boolean isKeepAlive(List<String> headers, String version) {
+        String connection = HttpMessage.find(headers, "Connection");
+        List<String> options = connection == null ? List.of()
+                : List.of(connection.toLowerCase(Locale.ROOT).split("[ ,]+"));
+        return version.equals("HTTP/1.1") ? !options.contains("close") : options.contains("keep-alive");
+    }
+
     /**
      * Checks a header line. The name may have only visible characters and the value no control characters; other
      * implementations would parse such a head differently.
