Share one map of bounded size between the two address tables of the CoAP edge

VerifiedAddresses and PeerRateLimiter each had a LinkedHashMap of their own that forgets the entry that was not used for the longest time. No behaviour changes.

--- a/src/main/java/wallmoor/edge/coap/PeerRateLimiter.java
+++ b/src/main/java/wallmoor/edge/coap/PeerRateLimiter.java
@@ -1,7 +1,6 @@
 package wallmoor.edge.coap;
 
 import java.net.InetSocketAddress;
-import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
@@ -28,14 +27,7 @@
     PeerRateLimiter(long intervalNanos, int burst, int maxPeers) {
         this.intervalNanos = intervalNanos;
         burstNanos = (burst - 1) * intervalNanos;
-        expectedNanos = new LinkedHashMap<>(64, 0.75f, true) {
-            private static final long serialVersionUID = 1L;
-
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<InetSocketAddress, Long> eldest) {
-                return size() > maxPeers;
-            }
-        };
+        expectedNanos = new RecentlyUsedMap<>(maxPeers);
     }
 
     /**
--- a/src/main/java/wallmoor/edge/coap/VerifiedAddresses.java
+++ b/src/main/java/wallmoor/edge/coap/VerifiedAddresses.java
@@ -5,7 +5,6 @@
 import java.security.GeneralSecurityException;
 import java.security.SecureRandom;
 import java.util.Arrays;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
@@ -25,14 +24,7 @@
     private static final int MAC_BYTES = 12;
 
     private final SecretKeySpec secret;
-    private final Map<InetSocketAddress, Long> verifiedTimes = new LinkedHashMap<>(64, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<InetSocketAddress, Long> eldest) {
-            return size() > MAX_ADDRESSES;
-        }
-    };
+    private final Map<InetSocketAddress, Long> verifiedTimes = new RecentlyUsedMap<>(MAX_ADDRESSES);
 
     VerifiedAddresses() {
         byte[] randomBytes = new byte[32];
