Refuse an inventory with more values than fit into the heap before it is loaded

What callers saw: all threads held up for more than 15 s beside a whole test run (LargeFileTest failed there), while the heap was collected over and over before it was exhausted by an inventory of 1 MiB with half a million values.

Change: the events of the YAML text are counted first, one at a time; more than one for each 1,024 bytes of the heap are refused, by a message that says so. The exhausted heap stays contained as before.

--- a/src/main/java/wallmoor/inventory/YamlInventory.java
+++ b/src/main/java/wallmoor/inventory/YamlInventory.java
@@ -1,5 +1,6 @@
 package wallmoor.inventory;
 
+import java.io.StringReader;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
@@ -8,6 +9,9 @@
 import org.yaml.snakeyaml.Yaml;
 import org.yaml.snakeyaml.constructor.SafeConstructor;
 import org.yaml.snakeyaml.error.YAMLException;
+import org.yaml.snakeyaml.events.Event;
+import org.yaml.snakeyaml.events.NodeEvent;
+import wallmoor.config.ConfigException;
 
 /**
  * Parses an inventory in Ansible's YAML format: groups with hosts, variables and child groups. A group may stand in
@@ -16,6 +20,8 @@
 final class YamlInventory {
     /** The maximum nesting depth of child groups. */
     private static final int MAX_DEPTH = 16;
+    /** Some four times what a loaded value takes, as other data need the rest of the heap. */
+    private static final int HEAP_BYTES_PER_VALUE = 1024;
 
     private final Path file;
     private final GroupHierarchy hierarchy;
@@ -40,7 +46,11 @@
         try {
             var options = new LoaderOptions();
             options.setAllowDuplicateKeys(false);
-            return new Yaml(new SafeConstructor(options)).load(text);
+            var yaml = new Yaml(new SafeConstructor(options));
+            checkSize(yaml.parse(new StringReader(text)));
+            return yaml.load(text);
+        } catch (ConfigException e) { // of the check of the size
+            throw e;
         } catch (YAMLException e) {
             throw InventoryParser.fault(file, "file", "is not valid YAML: " + e.getMessage().replaceAll("\\s+", " "));
         } catch (RuntimeException e) { // the library's constructors of numbers, dates and bytes throw any kind
@@ -48,6 +58,18 @@
         }
     }
 
+    /** Rejects a text whose values would fill the heap once they are loaded; its events are parsed one at a time. */
+    private void checkSize(Iterable<Event> events) {
+        long remaining = Runtime.getRuntime().maxMemory() / HEAP_BYTES_PER_VALUE;
+        for (Event event : events) {
+            remaining -= event instanceof NodeEvent ? 1 : 0;
+            if (remaining < 0) {
+                throw InventoryParser.fault(file, "file", "has more values than fit into the heap: remove hosts or"
+                        + " variables, or raise memory_mb");
+            }
+        }
+    }
+
     private void addGroup(String name, Object value, int depth) {
         String location = "group " + name;
         if (value == null) {
--- a/src/test/java/wallmoor/net/LargeFileTest.java
+++ b/src/test/java/wallmoor/net/LargeFileTest.java
@@ -60,7 +60,8 @@
         start(id -> "ok", "ogc:\n  listen: 127.0.0.1:" + Ports.free() + "\n  inventory: inventory.yaml\n"
                 + "  collections:\n    branches: {title: Branches, class: all, shards: [0]}\n");
         replace(inventory, "all: [" + "1,".repeat(MAX_INVENTORY_BYTES / 2 - 20) + "]\n");
-        awaitLogged("inventory rejected, last valid endpoints remain in use");
+        awaitLogged(
+                "inventory rejected, last valid endpoints remain in use: error=inventory.yaml: file has more values");
         replace(inventory, valid.replace("9101", "9102"));
         awaitLogged("inventory applied: file=inventory.yaml hosts=1");
         assertTrue(program.process.isAlive());
